--- /dev/null
+++ b/crates/rosethread_config/src/problem.rs
@@ -0,0 +1,67 @@
+//! Findings of validation.
+
+use std::fmt;
+
+/// One violated rule.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Problem {
+    /// The path of the field, such as `members[2].share`.
+    pub field: String,
+    /// The value found there.
+    pub value: String,
+    /// The rule that the value violates.
+    pub rule: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} = {}: {}", self.field, self.value, self.rule)
+    }
+}
+
+/// All findings about one text; never empty when returned as an error.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Problems(pub Vec<Problem>);
+
+impl Problems {
+    /// Adds a finding unless `holds`.
+    pub(crate) fn require(
+        &mut self,
+        holds: bool,
+        field: impl Into<String>,
+        value: impl fmt::Display,
+        rule: &str,
+    ) {
+        if !holds {
+            let problem =
+                Problem { field: field.into(), value: value.to_string(), rule: rule.to_owned() };
+            self.0.push(problem);
+        }
+    }
+
+    /// Returns `value`, or the findings if there are any.
+    pub(crate) fn into_result<T>(self, value: T) -> Result<T, Problems> {
+        if self.0.is_empty() { Ok(value) } else { Err(self) }
+    }
+
+    /// Returns the single finding that the text is not in the expected form.
+    pub(crate) fn of_syntax(error: &toml::de::Error) -> Problems {
+        let rule = error.to_string().trim().to_owned();
+        let field = "document".to_owned();
+        Problems(vec![Problem { field, value: "text".to_owned(), rule }])
+    }
+}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, problem) in self.0.iter().enumerate() {
+            if index != 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{problem}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Problems {}
--- /dev/null
+++ b/crates/rosethread_console/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/rosethread_fakes/src/engine.rs
@@ -0,0 +1,328 @@
+//! A stand-in for a model engine with continuous batching and a prefix cache.
+
+mod step;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use rosethread_platform::{
+    CacheHold, EngineEvent, EngineLoad, EngineRequest, EngineStream, EngineUsage, Order,
+    TargetError,
+};
+use rosethread_types::{AttemptId, Epoch, ProgramId, Tokens};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::Instant,
+};
+
+use crate::{PrefixCache, oracle};
+
+/// Events buffered between the engine and its client.
+const STREAM_BUFFER: usize = 1_024;
+
+/// The performance of a stand-in engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineConfig {
+    /// Sequences in one batch.
+    pub slots: usize,
+    /// Requests that wait in the engine before it refuses more.
+    pub queue: usize,
+    /// Cache memory, in tokens.
+    pub memory: Tokens,
+    /// The time of one step without any work in it.
+    pub step: Duration,
+    /// The time that each sequence adds to a step.
+    pub sequence: Duration,
+    /// Prompt tokens computed in a second.
+    pub prefill_rate: u32,
+    /// The most prompt tokens computed in one step.
+    pub chunk: Tokens,
+    /// How old a load report is.
+    pub report_lag: Duration,
+    /// Whether orders under an old fencing number are refused.
+    pub fencing: bool,
+}
+
+impl Default for EngineConfig {
+    fn default() -> EngineConfig {
+        EngineConfig {
+            slots: 8,
+            queue: 64,
+            memory: 100_000,
+            step: Duration::from_millis(20),
+            sequence: Duration::from_micros(500),
+            prefill_rate: 8_000,
+            chunk: 2_048,
+            report_lag: Duration::from_millis(500),
+            fencing: true,
+        }
+    }
+}
+
+/// How an engine misbehaves at present.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineFaults {
+    /// Whether it cannot be reached.
+    pub down: bool,
+    /// Whether it takes requests and never answers.
+    pub hang: bool,
+    /// After how many tokens it breaks streams off; zero means never.
+    pub break_after: Tokens,
+    /// Tokens that it generates beyond the requested limit.
+    pub overrun: Tokens,
+    /// By how much its steps are stretched; zero means not at all.
+    pub slow_factor: u32,
+}
+
+/// One generation that an engine took on, for checks after a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GenerationRecord {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The program.
+    pub program: ProgramId,
+    /// The fencing number.
+    pub epoch: Epoch,
+    /// The digest of the prompt.
+    pub prompt: rosethread_types::Digest,
+    /// When the request arrived.
+    pub arrived: Instant,
+    /// Tokens generated so far.
+    pub generated: Tokens,
+}
+
+pub(crate) struct Sequence {
+    request: EngineRequest,
+    record: usize,
+    digest: rosethread_types::Digest,
+    to_prefill: Tokens,
+    prompt: Tokens,
+    cached: Tokens,
+    generated: Tokens,
+    limit: Tokens,
+    text: String,
+    sender: mpsc::Sender<Result<EngineEvent, TargetError>>,
+}
+
+pub(crate) struct State {
+    faults: EngineFaults,
+    running: Vec<Sequence>,
+    waiting: BTreeMap<(i32, u64), Sequence>,
+    arrivals: u64,
+    cache: PrefixCache,
+    records: Vec<GenerationRecord>,
+    report: (Instant, EngineLoad),
+    fence: Epoch,
+    orders: Vec<(Epoch, Order)>,
+    exported: BTreeMap<ProgramId, Vec<u8>>,
+}
+
+/// A model engine in memory; [`FakeEngine::run`] has to be polled for it to make progress.
+pub struct FakeEngine {
+    config: EngineConfig,
+    state: Mutex<State>,
+    work: Notify,
+}
+
+impl FakeEngine {
+    /// Returns an idle engine and starts the task that runs its steps.
+    pub fn start(config: EngineConfig) -> Arc<FakeEngine> {
+        let engine = Arc::new(FakeEngine {
+            config,
+            state: Mutex::new(State {
+                faults: EngineFaults::default(),
+                running: Vec::new(),
+                waiting: BTreeMap::new(),
+                arrivals: 0,
+                cache: PrefixCache::new(config.memory),
+                records: Vec::new(),
+                report: (Instant::now(), EngineLoad::default()),
+                fence: Epoch::UNCLAIMED,
+                orders: Vec::new(),
+                exported: BTreeMap::new(),
+            }),
+            work: Notify::new(),
+        });
+        tokio::spawn(step::run(engine.clone()));
+        engine
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the engine panics")
+    }
+
+    /// Changes how the engine misbehaves.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.state().faults = faults;
+    }
+
+    /// Returns all generations taken on so far.
+    pub fn records(&self) -> Vec<GenerationRecord> {
+        self.state().records.clone()
+    }
+
+    /// Returns the programs that hold cache memory or have a generation here.
+    pub fn holders(&self) -> Vec<ProgramId> {
+        let state = self.state();
+        let mut holders = state.cache.holders();
+        holders.extend(state.running.iter().map(|it| it.request.program.clone()));
+        holders.extend(state.waiting.values().map(|it| it.request.program.clone()));
+        holders.into_iter().collect()
+    }
+
+    /// Returns the orders carried out so far.
+    pub fn orders(&self) -> Vec<(Epoch, Order)> {
+        self.state().orders.clone()
+    }
+
+    /// Takes a generation on.
+    pub fn generate(&self, request: EngineRequest) -> Result<EngineStream, TargetError> {
+        let mut state = self.state();
+        if state.faults.down {
+            return Err(TargetError::Unreachable("the engine is down".to_owned()));
+        }
+        if self.config.queue <= state.waiting.len() {
+            return Err(TargetError::Refused("the engine's queue is full".to_owned()));
+        }
+        let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
+        let sequence = sequence(&mut state, request, sender);
+        state.arrivals += 1;
+        let key = (sequence.request.priority, state.arrivals);
+        state.waiting.insert(key, sequence);
+        drop(state);
+        self.work.notify_one();
+        Ok(receiver)
+    }
+
+    /// Cancels the generations of a program.
+    pub fn cancel(&self, program: &ProgramId) -> Result<(), TargetError> {
+        let mut state = self.state();
+        if state.faults.down {
+            return Err(TargetError::Unreachable("the engine is down".to_owned()));
+        }
+        state.cancel(program);
+        Ok(())
+    }
+
+    /// Changes the hold on a program's cache; dropping it cancels its generations too.
+    pub fn release(&self, program: &ProgramId, hold: CacheHold) -> Result<(), TargetError> {
+        let mut state = self.state();
+        if state.faults.down {
+            return Err(TargetError::Unreachable("the engine is down".to_owned()));
+        }
+        match hold {
+            CacheHold::Keep(time) => state.cache.pin(program, Instant::now() + time),
+            CacheHold::Release => state.cache.unpin(program),
+            CacheHold::Drop => {
+                state.cancel(program);
+                state.cache.drop_program(program);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the last load report, which may be old.
+    pub fn load(&self) -> Result<EngineLoad, TargetError> {
+        let mut state = self.state();
+        if state.faults.down {
+            return Err(TargetError::Unreachable("the engine is down".to_owned()));
+        }
+        let now = Instant::now();
+        if state.report.0 + self.config.report_lag <= now {
+            state.report = (now, self.current_load(&state));
+        }
+        Ok(state.report.1)
+    }
+
+    /// Returns the load as it is, for measurements.
+    pub fn true_load(&self) -> EngineLoad {
+        self.current_load(&self.state())
+    }
+
+    fn current_load(&self, state: &State) -> EngineLoad {
+        let stats = state.cache.stats();
+        EngineLoad {
+            running: state.running.len() as u32,
+            waiting: state.waiting.len() as u32,
+            used: state.cache.used(),
+            memory: self.config.memory,
+            wasted: stats.wasted,
+            hits: stats.hits,
+            misses: stats.misses,
+        }
+    }
+
+    /// Carries an order out, unless its fencing number is old and the engine checks it.
+    pub fn order(&self, fence: Epoch, order: Order) -> Result<(), TargetError> {
+        let mut state = self.state();
+        if state.faults.down {
+            return Err(TargetError::Unreachable("the engine is down".to_owned()));
+        }
+        if self.config.fencing && fence < state.fence {
+            return Err(TargetError::Refused("the fencing number is old".to_owned()));
+        }
+        state.fence = state.fence.max(fence);
+        state.orders.push((fence, order));
+        Ok(())
+    }
+
+    /// Returns a copy of a program's cached prompt, to be imported elsewhere.
+    pub fn export(&self, program: &ProgramId) -> Option<Vec<u8>> {
+        self.state().exported.get(program).cloned()
+    }
+
+    /// Fills the cache with an exported prompt.
+    pub fn import(&self, program: &ProgramId, prompt: &[u8]) {
+        self.state().cache.insert(prompt, program);
+    }
+}
+
+/// Looks the prompt up in the cache and returns the sequence to run.
+fn sequence(
+    state: &mut State,
+    request: EngineRequest,
+    sender: mpsc::Sender<Result<EngineEvent, TargetError>>,
+) -> Sequence {
+    let prompt = oracle::tokens_of(&request.messages);
+    let cached = state.cache.lookup(request.messages.as_bytes());
+    let digest = oracle::prompt_digest(&request.messages);
+    let record = state.records.len();
+    state.records.push(GenerationRecord {
+        attempt: request.attempt,
+        program: request.program.clone(),
+        epoch: request.epoch,
+        prompt: digest,
+        arrived: Instant::now(),
+        generated: 0,
+    });
+    let wanted = oracle::wanted_tokens(&request.messages);
+    let limit = wanted.min(request.max_tokens + state.faults.overrun);
+    Sequence {
+        record,
+        digest,
+        to_prefill: prompt - cached,
+        prompt,
+        cached,
+        generated: 0,
+        limit,
+        text: String::new(),
+        sender,
+        request,
+    }
+}
+
+impl State {
+    fn cancel(&mut self, program: &ProgramId) {
+        self.running.retain(|it| it.request.program != *program);
+        self.waiting.retain(|_, it| it.request.program != *program);
+    }
+}
+
+impl Sequence {
+    fn usage(&self) -> EngineUsage {
+        EngineUsage { prompt: self.prompt, cached: self.cached, completion: self.generated }
+    }
+}
--- /dev/null
+++ b/crates/rosethread_fakes/src/engine/step.rs
@@ -0,0 +1,137 @@
+//! The steps of a stand-in engine: prefill in chunks, one token for each running sequence.
+
+use std::{sync::Arc, time::Duration};
+
+use rosethread_platform::{EngineEvent, TargetError};
+use rosethread_types::Tokens;
+use tokio::{sync::mpsc::error::TrySendError, time::sleep};
+
+use crate::{
+    FakeEngine,
+    engine::{Sequence, State},
+    oracle,
+};
+
+/// Runs the engine's steps for as long as anyone else holds it.
+pub(super) async fn run(engine: Arc<FakeEngine>) {
+    loop {
+        let duration = plan(&engine);
+        match duration {
+            Some(duration) => {
+                sleep(duration).await;
+                advance(&engine);
+            }
+            None => engine.work.notified().await,
+        }
+    }
+}
+
+/// Fills the batch and returns how long its next step takes, or nothing if there is no work.
+fn plan(engine: &FakeEngine) -> Option<Duration> {
+    let mut state = engine.state();
+    if state.faults.hang || state.faults.down {
+        state.running.retain(|it| !it.sender.is_closed());
+        state.waiting.retain(|_, it| !it.sender.is_closed());
+        if state.faults.down {
+            break_all(&mut state);
+        }
+        let is_idle = state.running.is_empty() && state.waiting.is_empty();
+        return (!is_idle).then_some(engine.config.step);
+    }
+    state.running.retain(|it| !it.sender.is_closed());
+    while state.running.len() < engine.config.slots {
+        let Some((_, sequence)) = state.waiting.pop_first() else {
+            break;
+        };
+        if !sequence.sender.is_closed() {
+            state.running.push(sequence);
+        }
+    }
+    if state.running.is_empty() {
+        return None;
+    }
+    let prefill: Tokens = state.running.iter().map(|it| it.to_prefill).sum();
+    let prefill = prefill.min(engine.config.chunk);
+    let prefill_s = prefill as f64 / f64::from(engine.config.prefill_rate.max(1));
+    let step = engine.config.step + engine.config.sequence * state.running.len() as u32;
+    let step = step + Duration::from_secs_f64(prefill_s);
+    Some(step * state.faults.slow_factor.max(1))
+}
+
+fn break_all(state: &mut State) {
+    let waiting = std::mem::take(&mut state.waiting).into_values();
+    for sequence in state.running.drain(..).chain(waiting) {
+        let error = TargetError::Broken("the engine went down".to_owned());
+        let _ = sequence.sender.try_send(Err(error));
+    }
+}
+
+/// Does the work of one step.
+fn advance(engine: &FakeEngine) {
+    let mut state = engine.state();
+    if state.faults.hang || state.faults.down {
+        return;
+    }
+    prefill(&mut state, engine.config.chunk);
+    let state = &mut *state;
+    let mut finished = Vec::new();
+    for (index, sequence) in state.running.iter_mut().enumerate() {
+        if sequence.to_prefill != 0 {
+            continue;
+        }
+        let is_over = decode(sequence, state.faults.break_after);
+        state.records[sequence.record].generated = sequence.generated;
+        if is_over {
+            finished.push(index);
+        }
+    }
+    for index in finished.into_iter().rev() {
+        let sequence = state.running.swap_remove(index);
+        let request = &sequence.request;
+        // The next turn's prompt continues with this one, less its closing bracket.
+        let prompt = request.messages.trim_end_matches(']').as_bytes();
+        state.cache.insert(prompt, &request.program);
+        state.exported.insert(request.program.clone(), prompt.to_vec());
+    }
+}
+
+fn prefill(state: &mut State, chunk: Tokens) {
+    let mut room = chunk;
+    for sequence in &mut state.running {
+        let part = sequence.to_prefill.min(room);
+        sequence.to_prefill -= part;
+        room -= part;
+    }
+}
+
+/// Generates one token and tells whether the sequence is over.
+fn decode(sequence: &mut Sequence, break_after: Tokens) -> bool {
+    if sequence.generated < sequence.limit {
+        let text = oracle::token_text(sequence.digest, sequence.generated);
+        sequence.generated += 1;
+        sequence.text.push_str(&text);
+        let event = EngineEvent::Text { text, tokens: sequence.generated };
+        if !send(sequence, Ok(event)) {
+            return true;
+        }
+    }
+    if break_after != 0 && break_after <= sequence.generated {
+        let error = TargetError::Broken("the engine broke the stream off".to_owned());
+        send(sequence, Err(error));
+        return true;
+    }
+    if sequence.generated < sequence.limit {
+        return false;
+    }
+    let usage = sequence.usage();
+    send(sequence, Ok(EngineEvent::Done(usage)));
+    true
+}
+
+/// Sends an event; a client that does not read fast enough loses its stream.
+fn send(sequence: &Sequence, event: Result<EngineEvent, TargetError>) -> bool {
+    match sequence.sender.try_send(event) {
+        Ok(()) => true,
+        Err(TrySendError::Full(_) | TrySendError::Closed(_)) => false,
+    }
+}
--- /dev/null
+++ b/crates/rosethread_fakes/src/lib.rs
@@ -0,0 +1,25 @@
+//! Small stand-ins for everything outside rosethread, with fault knobs, for tests and examples.
+//!
+//! Each stand-in is an in-memory object that implements a trait of `rosethread_platform`, so that
+//! several nodes can run against it on one paused clock; [`serve`] puts the same object behind
+//! HTTP for tests over sockets and for the examples. This crate is never published, and nothing
+//! that ships depends on it.
+
+mod cache;
+mod engine;
+mod hosts;
+mod log;
+mod oracle;
+pub mod serve;
+mod service;
+mod targets;
+mod weights;
+
+pub use cache::{CacheStats, PrefixCache};
+pub use engine::{EngineConfig, EngineFaults, FakeEngine, GenerationRecord};
+pub use hosts::FakeHosts;
+pub use log::{FakeLog, LogFaults};
+pub use oracle::{expected_answer, prompt_with_length, tokens_of};
+pub use service::{FakeService, ServiceFaults, ServiceRun};
+pub use targets::FakeTargets;
+pub use weights::{WeightStore, WeightStoreError};
--- /dev/null
+++ b/crates/rosethread_fakes/src/serve/engine.rs
@@ -0,0 +1,180 @@
+//! A model engine over HTTP, with the chat-completions protocol.
+
+use std::{convert::Infallible, sync::Arc};
+
+use axum::{
+    Json, Router,
+    extract::{DefaultBodyLimit, State},
+    http::StatusCode,
+    response::sse::{Event, Sse},
+    routing::{get, post},
+};
+use futures::Stream;
+use rosethread_platform::{
+    CacheHold, EngineEvent, EngineLoad, EngineRequest, EngineStream, Order, TargetError,
+};
+use rosethread_types::{AttemptId, Epoch, ModelName, ProgramId, Tokens};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use tokio::net::TcpListener;
+
+use crate::FakeEngine;
+
+/// The largest prompt that the engine takes, in bytes.
+const MAX_PROMPT_BYTES: usize = 32 << 20;
+
+#[derive(Deserialize)]
+struct ChatRequest {
+    model: ModelName,
+    messages: Box<RawValue>,
+    max_tokens: Tokens,
+    #[serde(default)]
+    priority: i32,
+    user: ProgramId,
+    request_id: String,
+    #[serde(default)]
+    fence: u64,
+}
+
+#[derive(Serialize)]
+struct ChatChunk {
+    choices: [ChatChoice; 1],
+    usage: ChatUsage,
+}
+
+#[derive(Serialize)]
+struct ChatChoice {
+    index: u32,
+    delta: ChatDelta,
+}
+
+#[derive(Serialize)]
+struct ChatDelta {
+    content: String,
+}
+
+#[derive(Serialize)]
+struct ChatUsage {
+    prompt_tokens: Tokens,
+    cached_tokens: Tokens,
+    completion_tokens: Tokens,
+}
+
+#[derive(Deserialize)]
+struct CancelRequest {
+    user: ProgramId,
+}
+
+#[derive(Deserialize)]
+struct ReleaseRequest {
+    user: ProgramId,
+    hold: CacheHold,
+}
+
+#[derive(Deserialize)]
+struct OrderRequest {
+    fence: u64,
+    #[serde(flatten)]
+    order: Order,
+}
+
+/// Serves a model engine until the task is aborted.
+pub async fn serve_engine(listener: TcpListener, engine: Arc<FakeEngine>) {
+    let app = Router::new()
+        .route("/v1/chat/completions", post(generate))
+        .route("/v1/cancel", post(cancel))
+        .route("/v1/cache/release", post(release))
+        .route("/v1/load", get(load))
+        .route("/v1/orders", post(order))
+        .layer(DefaultBodyLimit::max(MAX_PROMPT_BYTES))
+        .with_state(engine);
+    let _ = axum::serve(listener, app).await;
+}
+
+async fn generate(
+    State(engine): State<Arc<FakeEngine>>,
+    Json(chat): Json<ChatRequest>,
+) -> Result<Sse<impl Stream<Item = Result<Event, Infallible>>>, (StatusCode, String)> {
+    let attempt = u128::from_str_radix(&chat.request_id, 16)
+        .map_err(|_| (StatusCode::BAD_REQUEST, "request_id is not hexadecimal".to_owned()))?;
+    let request = EngineRequest {
+        attempt: AttemptId(attempt),
+        program: chat.user,
+        epoch: Epoch(chat.fence),
+        model: chat.model,
+        messages: chat.messages.get().to_owned(),
+        max_tokens: chat.max_tokens,
+        priority: chat.priority,
+    };
+    let stream = engine.generate(request).map_err(status)?;
+    Ok(Sse::new(events(stream)))
+}
+
+/// Turns an engine's stream into server-sent events; an error ends it without `[DONE]`.
+fn events(stream: EngineStream) -> impl Stream<Item = Result<Event, Infallible>> {
+    let start = (stream, false);
+    futures::stream::unfold(start, |(mut stream, is_done)| async move {
+        if is_done {
+            let event = Event::default().data("[DONE]");
+            stream.close();
+            return stream.recv().await.is_none().then_some((Ok(event), (stream, false)));
+        }
+        match stream.recv().await? {
+            Ok(EngineEvent::Text { text, tokens }) => {
+                let chunk = chunk(text, 0, 0, tokens);
+                Some((Ok(chunk), (stream, false)))
+            }
+            Ok(EngineEvent::Done(usage)) => {
+                let chunk = chunk(String::new(), usage.prompt, usage.cached, usage.completion);
+                Some((Ok(chunk), (stream, true)))
+            }
+            Err(_) => None,
+        }
+    })
+}
+
+fn chunk(content: String, prompt: Tokens, cached: Tokens, completion: Tokens) -> Event {
+    let usage =
+        ChatUsage { prompt_tokens: prompt, cached_tokens: cached, completion_tokens: completion };
+    let choice = ChatChoice { index: 0, delta: ChatDelta { content } };
+    let chunk = ChatChunk { choices: [choice], usage };
+    Event::default().json_data(chunk).unwrap_or_default()
+}
+
+async fn cancel(
+    State(engine): State<Arc<FakeEngine>>,
+    Json(request): Json<CancelRequest>,
+) -> Result<(), (StatusCode, String)> {
+    engine.cancel(&request.user).map_err(status)
+}
+
+async fn release(
+    State(engine): State<Arc<FakeEngine>>,
+    Json(request): Json<ReleaseRequest>,
+) -> Result<(), (StatusCode, String)> {
+    engine.release(&request.user, request.hold).map_err(status)
+}
+
+async fn load(
+    State(engine): State<Arc<FakeEngine>>,
+) -> Result<Json<EngineLoad>, (StatusCode, String)> {
+    engine.load().map(Json).map_err(status)
+}
+
+async fn order(
+    State(engine): State<Arc<FakeEngine>>,
+    Json(request): Json<OrderRequest>,
+) -> Result<(), (StatusCode, String)> {
+    engine.order(Epoch(request.fence), request.order).map_err(status)
+}
+
+fn status(error: TargetError) -> (StatusCode, String) {
+    let status = match error {
+        TargetError::Refused(_) => StatusCode::CONFLICT,
+        TargetError::Rejected(_) => StatusCode::BAD_REQUEST,
+        TargetError::Unreachable(_) | TargetError::Broken(_) | TargetError::TimedOut => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    };
+    (status, error.to_string())
+}
--- /dev/null
+++ b/crates/rosethread_journal/src/fold.rs
@@ -0,0 +1,200 @@
+//! Reads batches in log order and decides which records count.
+
+use std::collections::BTreeMap;
+
+use rosethread_program::Event;
+use rosethread_types::{Epoch, Incarnation, NodeName, Position, ProgramId, TargetName};
+
+use crate::{Batch, Record};
+
+/// What the fold decided about one record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The record counts, and this is the epoch in force after it.
+    Counted(Epoch),
+    /// The record is void, because another claim precedes it.
+    Void {
+        /// The owner in force.
+        owner: NodeName,
+        /// The epoch in force.
+        epoch: Epoch,
+    },
+}
+
+/// What the log says about one program.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProgramEntry {
+    /// The node that claimed the program last.
+    pub owner: NodeName,
+    /// The epoch of that claim.
+    pub epoch: Epoch,
+    /// The records that count, from the last checkpoint on.
+    pub positions: Vec<Position>,
+    /// The writer's time of the oldest of these records, in milliseconds since the Unix epoch.
+    pub oldest_ms: u64,
+    /// Whether the program has ended.
+    pub closed: bool,
+    /// The end of the program's wall time, in milliseconds since the Unix epoch.
+    pub expires_ms: u64,
+}
+
+/// What the log says about one target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetEntry {
+    /// The node that claimed the target last.
+    pub owner: NodeName,
+    /// The epoch of that claim.
+    pub epoch: Epoch,
+}
+
+/// The state that results from reading a journal stream in order.
+///
+/// It holds an index, not the programs themselves: about a hundred bytes per program.
+#[derive(Clone, Debug, Default)]
+pub struct Fold {
+    programs: BTreeMap<ProgramId, ProgramEntry>,
+    targets: BTreeMap<TargetName, TargetEntry>,
+    writers: BTreeMap<(NodeName, Incarnation), u64>,
+}
+
+impl Fold {
+    /// Reads the batch at `offset`; returns nothing if it repeats an earlier one.
+    pub fn apply(&mut self, offset: u64, batch: &Batch) -> Option<Vec<Verdict>> {
+        let writer = (batch.node.clone(), batch.incarnation);
+        let last = self.writers.entry(writer).or_default();
+        if batch.number <= *last {
+            return None;
+        }
+        *last = batch.number;
+        let mut verdicts = Vec::with_capacity(batch.records.len());
+        for (index, record) in batch.records.iter().enumerate().take(Position::MAX_BATCH) {
+            let position = Position::new(offset, index);
+            verdicts.push(self.apply_record(position, batch, record));
+        }
+        Some(verdicts)
+    }
+
+    fn apply_record(&mut self, position: Position, batch: &Batch, record: &Record) -> Verdict {
+        match record {
+            Record::Program { program, epoch, event } => match event {
+                Event::Claimed(grant) => {
+                    let expires_ms = grant.created_ms + grant.budget.wall.as_millis() as u64;
+                    self.claim_program(position, batch, program, *epoch, expires_ms)
+                }
+                _ => self.apply_event(position, batch, program, *epoch, event),
+            },
+            Record::Target { target, epoch } => self.claim_target(position, batch, target, *epoch),
+        }
+    }
+
+    fn claim_program(
+        &mut self,
+        position: Position,
+        batch: &Batch,
+        program: &ProgramId,
+        replaced: Epoch,
+        expires_ms: u64,
+    ) -> Verdict {
+        let epoch = Epoch::of_claim(position);
+        match self.programs.get_mut(program) {
+            Some(entry) if entry.epoch != replaced => {
+                Verdict::Void { owner: entry.owner.clone(), epoch: entry.epoch }
+            }
+            Some(entry) => {
+                entry.owner = batch.node.clone();
+                entry.epoch = epoch;
+                entry.positions.push(position);
+                entry.expires_ms = expires_ms;
+                Verdict::Counted(epoch)
+            }
+            None => {
+                let entry = ProgramEntry {
+                    owner: batch.node.clone(),
+                    epoch,
+                    positions: vec![position],
+                    oldest_ms: batch.written_ms,
+                    closed: false,
+                    expires_ms,
+                };
+                self.programs.insert(program.clone(), entry);
+                Verdict::Counted(epoch)
+            }
+        }
+    }
+
+    fn apply_event(
+        &mut self,
+        position: Position,
+        batch: &Batch,
+        program: &ProgramId,
+        epoch: Epoch,
+        event: &Event,
+    ) -> Verdict {
+        let is_checkpoint = matches!(event, Event::Checkpoint { .. });
+        let entry = self.programs.entry(program.clone()).or_insert_with(|| ProgramEntry {
+            owner: batch.node.clone(),
+            epoch,
+            positions: Vec::new(),
+            oldest_ms: batch.written_ms,
+            closed: false,
+            expires_ms: u64::MAX,
+        });
+        // A reader that starts after the claim has expired learns of it from the checkpoint.
+        if is_checkpoint && entry.epoch < epoch {
+            entry.owner = batch.node.clone();
+            entry.epoch = epoch;
+        }
+        if entry.epoch != epoch || entry.owner != batch.node {
+            return Verdict::Void { owner: entry.owner.clone(), epoch: entry.epoch };
+        }
+        match event {
+            Event::Checkpoint { grant, ended, .. } => {
+                entry.positions.clear();
+                entry.oldest_ms = batch.written_ms;
+                entry.expires_ms = grant.created_ms + grant.budget.wall.as_millis() as u64;
+                entry.closed = *ended;
+            }
+            Event::Closed => entry.closed = true,
+            _ => (),
+        }
+        entry.positions.push(position);
+        Verdict::Counted(epoch)
+    }
+
+    fn claim_target(
+        &mut self,
+        position: Position,
+        batch: &Batch,
+        target: &TargetName,
+        replaced: Epoch,
+    ) -> Verdict {
+        let epoch = Epoch::of_claim(position);
+        if let Some(entry) = self.targets.get(target)
+            && entry.epoch != replaced
+        {
+            return Verdict::Void { owner: entry.owner.clone(), epoch: entry.epoch };
+        }
+        self.targets.insert(target.clone(), TargetEntry { owner: batch.node.clone(), epoch });
+        Verdict::Counted(epoch)
+    }
+
+    /// Returns what the log says about `program`.
+    pub fn program(&self, program: &ProgramId) -> Option<&ProgramEntry> {
+        self.programs.get(program)
+    }
+
+    /// Returns what the log says about `target`.
+    pub fn target(&self, target: &TargetName) -> Option<&TargetEntry> {
+        self.targets.get(target)
+    }
+
+    /// Returns all programs in the order of their identifiers.
+    pub fn programs(&self) -> impl Iterator<Item = (&ProgramId, &ProgramEntry)> {
+        self.programs.iter()
+    }
+
+    /// Forgets programs whose wall time is over: no continuation of theirs is accepted any more.
+    pub fn forget_expired(&mut self, now_ms: u64) {
+        self.programs.retain(|_, it| now_ms < it.expires_ms);
+    }
+}
--- /dev/null
+++ b/crates/rosethread_membership/src/detector.rs
@@ -0,0 +1,418 @@
+//! A failure detector with indirect probes and suspicion, spreading reports by gossip.
+//!
+//! Each period a node pings one other, so its cost does not depend on the number of nodes. A
+//! missing acknowledgement is checked through several others before the node is suspected, and a
+//! suspect has time to refute. The scheme is that of SWIM (Das, Gupta and Motivala, 2002).
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use rosethread_types::{Incarnation, NodeName, ZoneName};
+
+use crate::{Contact, Kind, Message, NodeState, Status, Summary, View, wire};
+
+/// The most relays asked to probe a silent node.
+const RELAYS: usize = 3;
+
+/// How often a report is passed on before it only fills spare room.
+const SPREAD: u32 = 8;
+
+/// The length of time a dead node stays known, in periods, so that its death spreads.
+const DEAD_PERIODS: u32 = 150;
+
+/// The settings of a detector.
+#[derive(Clone, Copy, Debug)]
+pub struct DetectorConfig {
+    /// The time between two probes.
+    pub period: Duration,
+    /// The time from a suspicion to the verdict.
+    pub suspicion: Duration,
+}
+
+impl Default for DetectorConfig {
+    fn default() -> DetectorConfig {
+        DetectorConfig {
+            period: Duration::from_millis(400),
+            suspicion: Duration::from_millis(1_600),
+        }
+    }
+}
+
+/// A message and where to send it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The receiver's address for heartbeats.
+    pub to: SocketAddr,
+    /// The message.
+    pub message: Message,
+}
+
+struct Peer {
+    state: NodeState,
+    /// When the status changed last.
+    since: Duration,
+    /// How often the current report has been passed on.
+    spread: u32,
+}
+
+struct Outstanding {
+    subject: NodeName,
+    number: u64,
+    sent: Duration,
+    is_relayed: bool,
+}
+
+/// A ping on behalf of another node.
+struct Relay {
+    origin: SocketAddr,
+    origin_number: u64,
+    sent: Duration,
+}
+
+/// The failure detector of one node; time is the duration since its start.
+pub struct Detector {
+    config: DetectorConfig,
+    me: NodeState,
+    peers: BTreeMap<NodeName, Peer>,
+    /// The nodes still to be probed in this round, in a shuffled order.
+    round: Vec<NodeName>,
+    outstanding: Option<Outstanding>,
+    relays: BTreeMap<u64, Relay>,
+    number: u64,
+    random: u64,
+    suspicions: u64,
+}
+
+impl Detector {
+    /// Returns the detector of `node`; `seed` shuffles the order of its probes.
+    pub fn new(
+        node: NodeName,
+        incarnation: Incarnation,
+        contact: Contact,
+        config: DetectorConfig,
+        seed: u64,
+    ) -> Detector {
+        let summary = Summary::default();
+        let me =
+            NodeState { node, incarnation, version: 1, status: Status::Alive, contact, summary };
+        Detector {
+            config,
+            me,
+            peers: BTreeMap::new(),
+            round: Vec::new(),
+            outstanding: None,
+            relays: BTreeMap::new(),
+            number: 0,
+            random: seed | 1,
+            suspicions: 0,
+        }
+    }
+
+    /// Replaces what this node tells about itself.
+    pub fn set_summary(&mut self, summary: Summary) {
+        if self.me.summary != summary {
+            self.me.summary = summary;
+            self.me.version += 1;
+        }
+    }
+
+    /// Tells the others that this node takes no new work.
+    pub fn leave(&mut self) {
+        self.me.status = Status::Leaving;
+        self.me.version += 1;
+    }
+
+    /// Adds a node that the platform's host list names, unless it is known already.
+    pub fn introduce(&mut self, now: Duration, node: NodeName, contact: Contact) {
+        if node == self.me.node || self.peers.contains_key(&node) {
+            return;
+        }
+        let state = NodeState {
+            node: node.clone(),
+            incarnation: Incarnation::default(),
+            version: 0,
+            status: Status::Alive,
+            contact,
+            summary: Summary::default(),
+        };
+        self.peers.insert(node, Peer { state, since: now, spread: SPREAD });
+    }
+
+    /// Takes note that the platform's host list says `node` is leaving, which wins for new work.
+    pub fn mark_leaving(&mut self, now: Duration, node: &NodeName) {
+        if let Some(peer) = self.peers.get_mut(node)
+            && peer.state.status == Status::Alive
+        {
+            peer.state.status = Status::Leaving;
+            peer.since = now;
+        }
+    }
+
+    /// Returns the number of suspicions that this node raised itself.
+    pub fn suspicions(&self) -> u64 {
+        self.suspicions
+    }
+
+    /// Returns what is known about all nodes, this one included.
+    pub fn view(&self) -> View {
+        let mut nodes: BTreeMap<NodeName, NodeState> =
+            self.peers.iter().map(|(name, it)| (name.clone(), it.state.clone())).collect();
+        nodes.insert(self.me.node.clone(), self.me.clone());
+        View { nodes }
+    }
+
+    /// Tells whether a whole zone other than this node's own has fallen silent.
+    ///
+    /// That is taken for a partition: no programs are taken over because of it.
+    pub fn is_zone_silent(&self, zone: &ZoneName) -> bool {
+        let mut peers = self.peers.values().filter(|it| it.state.contact.zone == *zone);
+        let count = peers.clone().count();
+        2 <= count
+            && *zone != self.me.contact.zone
+            && peers.all(|it| Status::Suspect <= it.state.status)
+    }
+
+    /// Goes on by one period: judges the last probe and starts the next.
+    pub fn tick(&mut self, now: Duration) -> Vec<Outgoing> {
+        self.judge_probe(now);
+        self.judge_suspects(now);
+        self.forget(now);
+        let Some(subject) = self.next_subject() else {
+            return Vec::new();
+        };
+        self.number += 1;
+        let number = self.number;
+        self.outstanding =
+            Some(Outstanding { subject: subject.clone(), number, sent: now, is_relayed: false });
+        let to = self.peers[&subject].state.contact.heartbeat;
+        vec![self.outgoing(to, Kind::Ping, number)]
+    }
+
+    /// Goes on by half a period: asks others to probe a node that has not answered yet.
+    pub fn half_tick(&mut self, _now: Duration) -> Vec<Outgoing> {
+        let Some(outstanding) = &mut self.outstanding else {
+            return Vec::new();
+        };
+        if outstanding.is_relayed {
+            return Vec::new();
+        }
+        outstanding.is_relayed = true;
+        let (subject, number) = (outstanding.subject.clone(), outstanding.number);
+        let relays = self.pick_relays(&subject);
+        let kind = Kind::Probe { subject };
+        relays.into_iter().map(|to| self.outgoing(to, kind.clone(), number)).collect()
+    }
+
+    /// Takes a message in and returns the answers.
+    pub fn receive(&mut self, now: Duration, message: Message) -> Vec<Outgoing> {
+        let Some(sender) = message.states.first() else {
+            return Vec::new();
+        };
+        let sender_name = sender.node.clone();
+        let from = sender.contact.heartbeat;
+        for state in message.states {
+            self.merge(now, state);
+        }
+        match message.kind {
+            Kind::Ping => {
+                let kind = Kind::Ack { subject: self.me.node.clone() };
+                vec![self.outgoing(from, kind, message.number)]
+            }
+            Kind::Ack { subject } => self.take_ack(now, &sender_name, &subject, message.number),
+            Kind::Probe { subject } => self.relay(now, from, &subject, message.number),
+        }
+    }
+
+    fn take_ack(
+        &mut self,
+        now: Duration,
+        sender: &NodeName,
+        subject: &NodeName,
+        number: u64,
+    ) -> Vec<Outgoing> {
+        let is_awaited = self
+            .outstanding
+            .as_ref()
+            .is_some_and(|it| it.number == number && it.subject == *subject);
+        if is_awaited {
+            self.outstanding = None;
+            self.confirm(now, subject);
+            return Vec::new();
+        }
+        if sender != subject {
+            return Vec::new();
+        }
+        match self.relays.remove(&number) {
+            Some(relay) => {
+                let kind = Kind::Ack { subject: subject.clone() };
+                vec![self.outgoing(relay.origin, kind, relay.origin_number)]
+            }
+            None => Vec::new(),
+        }
+    }
+
+    /// Takes note of direct evidence that `subject` runs.
+    fn confirm(&mut self, now: Duration, subject: &NodeName) {
+        if let Some(peer) = self.peers.get_mut(subject)
+            && peer.state.status == Status::Suspect
+        {
+            peer.state.status = Status::Alive;
+            peer.since = now;
+        }
+    }
+
+    fn relay(
+        &mut self,
+        now: Duration,
+        origin: SocketAddr,
+        subject: &NodeName,
+        origin_number: u64,
+    ) -> Vec<Outgoing> {
+        let Some(peer) = self.peers.get(subject) else {
+            return Vec::new();
+        };
+        let to = peer.state.contact.heartbeat;
+        self.number += 1;
+        let number = self.number;
+        self.relays.insert(number, Relay { origin, origin_number, sent: now });
+        vec![self.outgoing(to, Kind::Ping, number)]
+    }
+
+    /// Suspects the node whose acknowledgement did not come within the period.
+    fn judge_probe(&mut self, now: Duration) {
+        let Some(outstanding) = self.outstanding.take() else {
+            return;
+        };
+        if now < outstanding.sent + self.config.period {
+            self.outstanding = Some(outstanding);
+            return;
+        }
+        if let Some(peer) = self.peers.get_mut(&outstanding.subject)
+            && peer.state.status < Status::Suspect
+        {
+            peer.state.status = Status::Suspect;
+            peer.since = now;
+            peer.spread = 0;
+            self.suspicions += 1;
+        }
+    }
+
+    fn judge_suspects(&mut self, now: Duration) {
+        for peer in self.peers.values_mut() {
+            let is_due = peer.since + self.config.suspicion <= now;
+            if peer.state.status == Status::Suspect && is_due {
+                peer.state.status = Status::Dead;
+                peer.since = now;
+                peer.spread = 0;
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        let keep = self.config.period * DEAD_PERIODS;
+        self.peers.retain(|_, it| it.state.status != Status::Dead || now < it.since + keep);
+        let patience = self.config.period;
+        self.relays.retain(|_, it| now < it.sent + patience);
+    }
+
+    /// Returns the next node to probe; dead ones are probed too, so that a healed partition shows.
+    fn next_subject(&mut self) -> Option<NodeName> {
+        loop {
+            if self.round.is_empty() {
+                if self.peers.is_empty() {
+                    return None;
+                }
+                self.round = self.peers.keys().cloned().collect();
+                self.shuffle_round();
+            }
+            let subject = self.round.pop()?;
+            if self.peers.contains_key(&subject) {
+                return Some(subject);
+            }
+        }
+    }
+
+    fn shuffle_round(&mut self) {
+        for index in (1..self.round.len()).rev() {
+            let other = self.next_random() as usize % (index + 1);
+            self.round.swap(index, other);
+        }
+    }
+
+    fn pick_relays(&mut self, subject: &NodeName) -> Vec<SocketAddr> {
+        let candidates: Vec<SocketAddr> = self
+            .peers
+            .values()
+            .filter(|it| it.state.status == Status::Alive && it.state.node != *subject)
+            .map(|it| it.state.contact.heartbeat)
+            .collect();
+        let mut picked = BTreeSet::new();
+        for _ in 0..RELAYS.min(candidates.len()) {
+            let index = self.next_random() as usize % candidates.len();
+            picked.insert(candidates[index]);
+        }
+        picked.into_iter().collect()
+    }
+
+    /// A xorshift step: probe order needs no more than an even spread.
+    fn next_random(&mut self) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random
+    }
+
+    fn merge(&mut self, now: Duration, state: NodeState) {
+        if state.node == self.me.node {
+            self.refute(&state);
+            return;
+        }
+        match self.peers.get_mut(&state.node) {
+            Some(peer) if state.supersedes(&peer.state) => {
+                if peer.state.status != state.status {
+                    peer.since = now;
+                }
+                peer.state = state;
+                peer.spread = 0;
+            }
+            Some(_) => (),
+            None if state.status == Status::Dead => (),
+            None => {
+                self.peers.insert(state.node.clone(), Peer { state, since: now, spread: 0 });
+            }
+        }
+    }
+
+    /// Answers a suspicion of this node itself with a newer report.
+    fn refute(&mut self, state: &NodeState) {
+        let is_current = state.incarnation == self.me.incarnation;
+        if is_current && Status::Suspect <= state.status && self.me.version <= state.version {
+            self.me.version = state.version + 1;
+        }
+    }
+
+    /// Returns a message with as many reports as fit, the least spread first.
+    fn outgoing(&mut self, to: SocketAddr, kind: Kind, number: u64) -> Outgoing {
+        let mut states = vec![self.me.clone()];
+        let mut room = wire::STATE_ROOM.saturating_sub(wire::state_bytes(&self.me));
+        let mut order: Vec<(u32, NodeName)> =
+            self.peers.iter().map(|(name, it)| (it.spread, name.clone())).collect();
+        order.sort();
+        for (_, name) in order {
+            let Some(peer) = self.peers.get_mut(&name) else {
+                continue;
+            };
+            let bytes = wire::state_bytes(&peer.state);
+            if room < bytes {
+                break;
+            }
+            room -= bytes;
+            peer.spread = peer.spread.saturating_add(1);
+            states.push(peer.state.clone());
+        }
+        Outgoing { to, message: Message { kind, number, states } }
+    }
+}
--- /dev/null
+++ b/crates/rosethread_membership/src/lib.rs
@@ -0,0 +1,17 @@
+//! Failure detection, the view of live nodes, and the ownership of targets.
+//!
+//! The core is pure: [`Detector`] takes messages and the time in, and gives messages out; the node
+//! (`rosethread_node`) carries them over UDP. Nothing here decides a dispute: a wrong suspicion
+//! moves work, and the journal keeps the promises. See `docs/design/membership.md`.
+
+mod detector;
+mod message;
+mod rendezvous;
+mod state;
+mod wire;
+
+pub use detector::{Detector, DetectorConfig, Outgoing};
+pub use message::{Kind, Message};
+pub use rendezvous::{rank, responsible, target_owner};
+pub use state::{Contact, NodeState, Status, Summary, TargetLoad, View};
+pub use wire::{AuthKeys, MAX_DATAGRAM, WireError};
--- /dev/null
+++ b/crates/rosethread_node/src/args.rs
@@ -0,0 +1,82 @@
+//! The command line of the node process.
+
+use getopts::Options;
+use slog::Level;
+
+use crate::logging::Format;
+
+/// What the process is asked to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Action {
+    /// Serve until told to stop.
+    Serve,
+    /// Check the settings only.
+    Check,
+    /// Print the version.
+    Version,
+    /// Print the usage.
+    Help,
+}
+
+/// The parsed command line.
+#[derive(Clone, Debug)]
+pub(crate) struct Args {
+    pub(crate) action: Action,
+    pub(crate) settings: Option<String>,
+    pub(crate) level: Level,
+    pub(crate) format: Format,
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "the settings file, in TOML", "FILE");
+    options.optflag("c", "check", "check the settings and exit");
+    options.optopt("l", "log-level", "error, warning, info or debug (info)", "LEVEL");
+    options.optopt("f", "log-format", "terminal or json (terminal)", "FORMAT");
+    options.optflag("V", "version", "print the version and exit");
+    options.optflag("h", "help", "print this text and exit");
+    options
+}
+
+/// Returns the text for `--help`.
+pub(crate) fn usage() -> String {
+    options().usage("Usage: rosethread --settings FILE [options]")
+}
+
+impl Args {
+    /// Parses the arguments after the program's name.
+    pub(crate) fn parse(arguments: impl Iterator<Item = String>) -> Result<Args, String> {
+        let matches = options().parse(arguments).map_err(|it| it.to_string())?;
+        if let Some(extra) = matches.free.first() {
+            return Err(format!("{extra}: unexpected argument; see --help"));
+        }
+        let action = if matches.opt_present("help") {
+            Action::Help
+        } else if matches.opt_present("version") {
+            Action::Version
+        } else if matches.opt_present("check") {
+            Action::Check
+        } else {
+            Action::Serve
+        };
+        let level = match matches.opt_str("log-level").as_deref() {
+            None | Some("info") => Level::Info,
+            Some("error") => Level::Error,
+            Some("warning") => Level::Warning,
+            Some("debug") => Level::Debug,
+            Some(other) => {
+                return Err(format!(
+                    "--log-level = {other}: must be error, warning, info or debug"
+                ));
+            }
+        };
+        let format = match matches.opt_str("log-format").as_deref() {
+            None | Some("terminal") => Format::Terminal,
+            Some("json") => Format::Json,
+            Some(other) => {
+                return Err(format!("--log-format = {other}: must be terminal or json"));
+            }
+        };
+        Ok(Args { action, settings: matches.opt_str("settings"), level, format })
+    }
+}
--- /dev/null
+++ b/crates/rosethread_node/src/call.rs
@@ -0,0 +1,164 @@
+//! The messages about programs, between callers, nodes and the owner.
+
+use rosethread_program::{Exchange, Usage};
+use rosethread_types::{
+    ClassName, MemberName, ModelName, ProgramId, Refusal, RequestId, ServiceName, Tokens, Turn,
+    ZoneName,
+};
+use serde::{Deserialize, Serialize};
+
+/// What a call asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Work {
+    /// A generation by the program's model.
+    Model {
+        /// The messages that this turn adds: a JSON array.
+        messages: String,
+        /// The most tokens to generate; the class decides if absent.
+        max_tokens: Option<Tokens>,
+    },
+    /// A call to a plain service.
+    Service {
+        /// The service.
+        service: ServiceName,
+        /// The path below the service's root.
+        path: String,
+        /// The body.
+        body: String,
+    },
+}
+
+impl Work {
+    /// Tells whether the exchange becomes part of the model's prompt.
+    pub fn is_prompted(&self) -> bool {
+        matches!(self, Work::Model { .. })
+    }
+
+    /// Returns the content by which a retry is recognised.
+    pub fn input(&self) -> &str {
+        match self {
+            Work::Model { messages, .. } => messages,
+            Work::Service { body, .. } => body,
+        }
+    }
+}
+
+/// One call of a program.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Call {
+    /// The program.
+    pub program: ProgramId,
+    /// The caller's identifier of the call.
+    pub request: RequestId,
+    /// The number of the call within its program.
+    pub turn: Turn,
+    /// What the call asks for.
+    pub work: Work,
+    /// Whether running the call twice does no harm.
+    pub repeatable: bool,
+    /// Whether the caller may have sent the call before; only a first sending is provably not run
+    /// where the program is not known.
+    pub retry: bool,
+    /// The deadline, in milliseconds since the Unix epoch.
+    pub deadline_ms: u64,
+    /// The sealed continuation from the caller's last answer.
+    pub continuation: Option<String>,
+    /// Turns that the caller supplies again.
+    #[serde(default)]
+    pub supplied: Vec<Exchange>,
+    /// How often nodes have forwarded the call.
+    #[serde(default)]
+    pub hops: u8,
+}
+
+/// The whole answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The answer's text.
+    pub text: String,
+    /// The turn that it finished.
+    pub turn: Turn,
+    /// What the call consumed.
+    pub usage: Usage,
+    /// Tokens that the program has spent.
+    pub spent: Tokens,
+    /// The sealed continuation for the next turn.
+    pub continuation: String,
+}
+
+/// One event of a call's stream; the last is `Done` or `Refused`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallEvent {
+    /// More of the answer's text.
+    Text(String),
+    /// The answer is whole.
+    Done(Answer),
+    /// There is no answer.
+    Refused(Refusal),
+}
+
+/// A request to create a program.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Create {
+    /// The member on whose behalf it runs.
+    pub member: MemberName,
+    /// The class.
+    pub class: ClassName,
+    /// The model.
+    pub model: ModelName,
+    /// The program that the new one is a sub-agent of.
+    pub parent: Option<ProgramId>,
+    /// A narrower token budget than the class grants.
+    pub tokens: Option<Tokens>,
+    /// A narrower number of calls than the class grants.
+    pub calls: Option<u32>,
+    /// A shorter wall time than the class grants, in milliseconds.
+    pub wall_ms: Option<u64>,
+    /// The caller's availability zone.
+    pub zone: Option<ZoneName>,
+    /// Whether another node has sent the request on.
+    #[serde(default)]
+    pub is_forwarded: bool,
+}
+
+/// A created program.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Created {
+    /// The program.
+    pub program: ProgramId,
+    /// The sealed continuation for the first turn.
+    pub continuation: String,
+}
+
+/// A request to end a program.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Close {
+    /// The program.
+    pub program: ProgramId,
+    /// The sealed continuation from the caller's last answer.
+    pub continuation: Option<String>,
+    /// How often nodes have forwarded the request.
+    #[serde(default)]
+    pub hops: u8,
+}
+
+/// What callers may know about their program.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgramStatus {
+    /// The program.
+    pub program: ProgramId,
+    /// The number of the next turn.
+    pub turn: Turn,
+    /// Tokens spent.
+    pub spent: Tokens,
+    /// Tokens held for work under way.
+    pub held: Tokens,
+    /// Tokens left.
+    pub left: Tokens,
+    /// Whether a call is running.
+    pub running: bool,
+    /// Whether the program has ended.
+    pub ended: bool,
+}
--- /dev/null
+++ b/crates/rosethread_node/src/control/periodic.rs
@@ -0,0 +1,121 @@
+//! Periodic work: summaries, sweeps and load reports.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use kameo::actor::ActorRef;
+use rosethread_config::{Document, Target};
+use rosethread_membership::{Summary, TargetLoad, View, target_owner};
+use rosethread_platform::TargetAddress;
+
+use crate::{
+    control::members::{Members, SetSummary},
+    core::Core,
+    owner,
+    timer::Tick,
+};
+
+/// The time between two updates of this node's summary.
+const SUMMARY_PERIOD: Duration = Duration::from_millis(200);
+
+/// The time between two sweeps over the programs.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// The time between two reads of the load of this node's engines.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
+
+/// Starts all periodic tasks.
+pub(super) fn start(core: &Arc<Core>, members: ActorRef<Members>) {
+    let tasks = &core.tasks;
+    tasks.spawn_control(update_summaries(core.clone(), members));
+    tasks.spawn(sweep(core.clone()));
+    tasks.spawn(read_loads(core.clone()));
+}
+
+async fn update_summaries(core: Arc<Core>, members: ActorRef<Members>) {
+    let mut ticks = core.timer.every(SUMMARY_PERIOD);
+    while let Some(Tick) = ticks.recv().await {
+        let summary = summary(&core);
+        update_gauges(&core);
+        if members.tell(SetSummary(summary)).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn summary(core: &Core) -> Summary {
+    Summary {
+        revision: core.document.borrow().revision,
+        calls: core.calls.load(Ordering::Relaxed),
+        programs: core.owned_count() as u32,
+        targets: target_loads(core),
+    }
+}
+
+/// Returns the targets that this node owns.
+fn owned_targets<'a>(
+    core: &'a Core,
+    view: &'a View,
+    document: &'a Document,
+) -> impl Iterator<Item = &'a Target> {
+    document.targets.iter().filter(move |it| {
+        target_owner(view, it.name.as_str(), &it.zone).as_ref() == Some(core.me())
+    })
+}
+
+/// Returns the loads of the targets that this node owns.
+fn target_loads(core: &Core) -> Vec<TargetLoad> {
+    let in_force = core.document.borrow().clone();
+    let view = core.view();
+    let owned = owned_targets(core, &view, &in_force.document);
+    let loads = owned.map(|it| {
+        let (running, waiting) = core.dispatch.slots(&it.name).load();
+        let limit = u32::from(u16::MAX);
+        TargetLoad {
+            target: it.name.clone(),
+            running: running.min(limit) as u16,
+            waiting: waiting.min(limit) as u16,
+        }
+    });
+    loads.filter(|it| it.running != 0 || it.waiting != 0).collect()
+}
+
+fn update_gauges(core: &Core) {
+    let stats = core.journal.stats();
+    core.metrics.programs_owned.set(core.owned_count() as i64);
+    core.metrics.journal_queued.set(core.journal.queued_bytes() as i64);
+    core.metrics.journal_appends.set(stats.appends as i64);
+    core.metrics.journal_records.set(stats.records as i64);
+    core.metrics.journal_bytes.set(stats.bytes as i64);
+    core.metrics.revision.set(core.document.borrow().revision.0 as i64);
+}
+
+async fn sweep(core: Arc<Core>) {
+    let mut ticks = core.timer.every(SWEEP_PERIOD);
+    while let Some(Tick) = ticks.recv().await {
+        owner::sweep(&core).await;
+    }
+}
+
+/// Reads the load reports of the engines that this node owns.
+///
+/// Nodes that do not own an engine leave it alone, so an engine is asked once a period however
+/// many nodes there are.
+async fn read_loads(core: Arc<Core>) {
+    let mut ticks = core.timer.every(LOAD_PERIOD);
+    while let Some(Tick) = ticks.recv().await {
+        let in_force = core.document.borrow().clone();
+        let view = core.view();
+        let engines = owned_targets(&core, &view, &in_force.document);
+        let engines = engines.filter(|it| it.engine().is_some());
+        let reads = engines.map(|it| async {
+            let address = TargetAddress { name: it.name.clone(), address: it.address };
+            if let Ok(load) = core.targets.load(&address).await {
+                core.dispatch.update_health(&it.name, |health| health.load = load);
+            }
+        });
+        futures::future::join_all(reads).await;
+    }
+}
--- /dev/null
+++ b/crates/rosethread_node/src/core.rs
@@ -0,0 +1,239 @@
+//! What all parts of a node share.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use rosethread_config::{InForce, KeySettings, Settings};
+use rosethread_journal::{Journal, JournalConfig};
+use rosethread_membership::{Contact, View};
+use rosethread_platform::{Clock, HostList, LogService, Targets};
+use rosethread_program::{SealKey, SealKeys};
+use rosethread_types::{Incarnation, NodeName, ProgramId, Reason, Refusal};
+use slog::Logger;
+use tokio::{sync::watch, time::Instant};
+
+use crate::{
+    dispatch::Dispatch,
+    limits::MemberLimits,
+    metrics::Metrics,
+    owner::Owned,
+    peers::{Datagrams, Peers},
+    random::Random,
+    tasks::Tasks,
+    timer::Timer,
+};
+
+/// Everything that a node is built from.
+pub struct Parts {
+    /// The process's own settings.
+    pub settings: Settings,
+    /// The wall clock.
+    pub clock: Clock,
+    /// The platform's log service.
+    pub log: Arc<dyn LogService>,
+    /// The platform's targets.
+    pub targets: Arc<dyn Targets>,
+    /// The platform's host list.
+    pub hosts: Arc<dyn HostList>,
+    /// The way to other nodes, for calls.
+    pub peers: Arc<dyn Peers>,
+    /// The way to other nodes, for heartbeats.
+    pub datagrams: Arc<dyn Datagrams>,
+    /// The random source.
+    pub random: Random,
+    /// Where the node's tasks run.
+    pub tasks: Tasks,
+    /// The logger.
+    pub logger: Logger,
+}
+
+/// How far a node is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// It takes new work.
+    Serving,
+    /// It finishes what it has.
+    Draining,
+    /// It has handed everything over.
+    Stopped,
+}
+
+/// The shared state of a node.
+pub(crate) struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) start: Instant,
+    pub(crate) tasks: Tasks,
+    pub(crate) timer: Timer,
+    pub(crate) random: Random,
+    pub(crate) logger: Logger,
+    pub(crate) metrics: Metrics,
+    pub(crate) log: Arc<dyn LogService>,
+    pub(crate) journal: Journal,
+    pub(crate) targets: Arc<dyn Targets>,
+    pub(crate) hosts: Arc<dyn HostList>,
+    pub(crate) peers: Arc<dyn Peers>,
+    pub(crate) datagrams: Arc<dyn Datagrams>,
+    pub(crate) seal: SealKeys,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) document: watch::Sender<Arc<InForce>>,
+    pub(crate) view: watch::Sender<Arc<View>>,
+    pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) dispatch: Dispatch,
+    pub(crate) limits: MemberLimits,
+    programs: Mutex<BTreeMap<ProgramId, Arc<Owned>>>,
+    takeovers: Mutex<BTreeMap<ProgramId, Arc<tokio::sync::Mutex<()>>>>,
+    /// Calls under way here, for summaries.
+    pub(crate) calls: AtomicU32,
+}
+
+impl Core {
+    /// Builds the shared state and starts the journal's tasks.
+    pub(crate) fn new(parts: Parts) -> Arc<Core> {
+        let incarnation = Incarnation(parts.clock.now_ms());
+        let settings = parts.settings;
+        let config = JournalConfig::new(
+            settings.log.journal.clone(),
+            settings.node.clone(),
+            incarnation,
+            parts.clock,
+        )
+        .window(Duration::from_millis(settings.journal.window_ms))
+        .queue_bytes(settings.journal.queue_bytes);
+        let (journal, writer, reader) = Journal::new(config, parts.log.clone());
+        parts.tasks.spawn_control(writer);
+        parts.tasks.spawn_control(reader);
+        let timer = Timer::start(&parts.tasks);
+        Arc::new(Core {
+            seal: seal_keys(&settings.keys),
+            clock: parts.clock,
+            start: Instant::now(),
+            timer,
+            random: parts.random,
+            logger: parts.logger,
+            metrics: Metrics::new(),
+            log: parts.log,
+            journal,
+            targets: parts.targets,
+            hosts: parts.hosts,
+            peers: parts.peers,
+            datagrams: parts.datagrams,
+            incarnation,
+            document: watch::Sender::new(Arc::default()),
+            view: watch::Sender::new(Arc::default()),
+            phase: watch::Sender::new(Phase::Serving),
+            dispatch: Dispatch::default(),
+            limits: MemberLimits::default(),
+            programs: Mutex::default(),
+            takeovers: Mutex::default(),
+            calls: AtomicU32::new(0),
+            tasks: parts.tasks,
+            settings,
+        })
+    }
+
+    /// Returns this node's name.
+    pub(crate) fn me(&self) -> &NodeName {
+        &self.settings.node
+    }
+
+    /// Returns where this node is.
+    pub(crate) fn contact(&self) -> Contact {
+        let addresses = &self.settings.addresses;
+        Contact {
+            zone: self.settings.zone.clone(),
+            caller: addresses.caller,
+            peer: addresses.peer,
+            heartbeat: addresses.heartbeat,
+        }
+    }
+
+    /// Returns the time since the node's start.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Returns the document in force, or a refusal if there is none yet.
+    pub(crate) fn document(&self) -> Result<Arc<InForce>, Refusal> {
+        let document = self.document.borrow().clone();
+        if document.revision.0 == 0 {
+            let detail = "no document has been published yet";
+            let refusal = Refusal::not_run(Reason::NoDocument, detail);
+            return Err(refusal.retry_after(Duration::from_secs(1)));
+        }
+        Ok(document)
+    }
+
+    /// Returns the nodes as they are known at present.
+    pub(crate) fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Returns how far the node is in its life.
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Returns the program if this node owns it.
+    pub(crate) fn owned(&self, program: &ProgramId) -> Option<Arc<Owned>> {
+        self.programs().get(program).cloned()
+    }
+
+    /// Returns all programs that this node owns.
+    pub(crate) fn all_owned(&self) -> Vec<Arc<Owned>> {
+        self.programs().values().cloned().collect()
+    }
+
+    /// Returns the number of programs that this node owns.
+    pub(crate) fn owned_count(&self) -> usize {
+        self.programs().len()
+    }
+
+    /// Adds a program that this node owns from now on.
+    pub(crate) fn insert_owned(&self, owned: Arc<Owned>) {
+        self.programs().insert(owned.id.clone(), owned);
+    }
+
+    /// Removes a program that this node no longer owns.
+    pub(crate) fn remove_owned(&self, program: &ProgramId) -> Option<Arc<Owned>> {
+        self.programs().remove(program)
+    }
+
+    fn programs(&self) -> MutexGuard<'_, BTreeMap<ProgramId, Arc<Owned>>> {
+        self.programs.lock().expect("no holder of the programs panics")
+    }
+
+    /// Returns the lock under which `program` is taken over, so that it happens once.
+    pub(crate) fn takeover_lock(&self, program: &ProgramId) -> Arc<tokio::sync::Mutex<()>> {
+        let mut takeovers = self.takeovers.lock().expect("no holder of the takeovers panics");
+        takeovers.retain(|_, it| 1 < Arc::strong_count(it));
+        takeovers.entry(program.clone()).or_default().clone()
+    }
+
+    /// Counts a call as under way until the guard is dropped.
+    pub(crate) fn count_call(self: &Arc<Core>) -> CallGuard {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        CallGuard(self.clone())
+    }
+}
+
+/// Counts one call as under way.
+pub(crate) struct CallGuard(Arc<Core>);
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.0.calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn seal_keys(keys: &KeySettings) -> SealKeys {
+    let mut decoded = KeySettings::decode(&keys.seal).into_iter().map(SealKey);
+    let current = decoded.next().expect("settings have at least one valid seal key");
+    SealKeys::new(current, decoded.collect())
+}
--- /dev/null
+++ b/crates/rosethread_node/src/dispatch.rs
@@ -0,0 +1,60 @@
+//! The way from an owned program to a target: slots, leases and target health.
+//!
+//! Each target has one owner node, found by rendezvous hashing, which grants its slots. A program's
+//! owner that is not the target's owner takes a lease on a slot, and then connects to the target
+//! itself, so tokens never pass through a third node.
+
+mod acquire;
+mod health;
+mod slots;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use rosethread_types::TargetName;
+
+pub(crate) use acquire::{Held, acquire, grant_lease, release_lease, sweep_leases};
+pub(crate) use health::Health;
+use serde::{Deserialize, Serialize};
+pub use slots::Ticket;
+pub(crate) use slots::{Permit, Slots};
+
+/// The identifier of a slot that a target's owner has lent to another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Lease(pub u64);
+
+/// The targets as this node uses and schedules them.
+#[derive(Default)]
+pub(crate) struct Dispatch {
+    slots: Mutex<BTreeMap<TargetName, Arc<Slots>>>,
+    health: Mutex<BTreeMap<TargetName, Health>>,
+    leases: Mutex<BTreeMap<Lease, acquire::Lent>>,
+}
+
+impl Dispatch {
+    /// Returns the slots of a target that this node owns.
+    pub(crate) fn slots(&self, target: &TargetName) -> Arc<Slots> {
+        let mut slots = self.slots.lock().expect("no holder of the slots panics");
+        slots.entry(target.clone()).or_default().clone()
+    }
+
+    /// Returns what this node knows about each target's health.
+    pub(crate) fn health(&self) -> MutexGuard<'_, BTreeMap<TargetName, Health>> {
+        self.health.lock().expect("no holder of the health panics")
+    }
+
+    /// Changes what this node knows about a target's health.
+    pub(crate) fn update_health<R>(
+        &self,
+        target: &TargetName,
+        update: impl FnOnce(&mut Health) -> R,
+    ) -> R {
+        update(self.health().entry(target.clone()).or_default())
+    }
+
+    fn leases(&self) -> MutexGuard<'_, BTreeMap<Lease, acquire::Lent>> {
+        self.leases.lock().expect("no holder of the leases panics")
+    }
+}
--- /dev/null
+++ b/crates/rosethread_node/src/dispatch/slots.rs
@@ -0,0 +1,147 @@
+//! The slots of one target, granted in the order that the policy chooses.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use rosethread_policy::{Shares, Strategy, Waiting, pick};
+use rosethread_types::MemberName;
+use serde::{Deserialize, Serialize};
+use tokio::{sync::oneshot, time::Instant};
+
+/// Who asks for a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ticket {
+    /// The member on whose behalf the call runs.
+    pub member: MemberName,
+    /// The member's weight.
+    pub share: u32,
+    /// The priority of the call's class.
+    pub priority: i32,
+    /// Whether the class has reserved slots.
+    pub reserved: bool,
+    /// Tokens of service that the program has received.
+    pub attained: u64,
+    /// Tokens that the call is expected to cost.
+    pub tokens: u64,
+}
+
+struct Waiter {
+    ticket: Ticket,
+    since: Instant,
+    grant: oneshot::Sender<Permit>,
+}
+
+#[derive(Default)]
+struct State {
+    slots: u32,
+    strategy: Strategy,
+    running: u32,
+    waiting: Vec<Waiter>,
+    shares: Shares,
+}
+
+/// The slots of a target at its owner.
+#[derive(Default)]
+pub(crate) struct Slots {
+    state: Mutex<State>,
+}
+
+/// A slot in use; dropping it frees the slot.
+pub(crate) struct Permit {
+    slots: Option<Arc<Slots>>,
+}
+
+impl Slots {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the slots panics")
+    }
+
+    /// Sets the number of slots and the strategy, as the document says.
+    pub(crate) fn configure(&self, slots: u32, strategy: Strategy) {
+        let mut state = self.state();
+        state.slots = slots;
+        state.strategy = strategy;
+    }
+
+    /// Returns the calls that run and wait.
+    pub(crate) fn load(&self) -> (u32, u32) {
+        let state = self.state();
+        let waiting = state.waiting.iter().filter(|it| !it.grant.is_closed()).count();
+        (state.running, waiting as u32)
+    }
+
+    /// Waits for a slot; a dropped wait gives its place up.
+    pub(crate) async fn acquire(self: &Arc<Slots>, ticket: Ticket) -> Permit {
+        let (grant, granted) = oneshot::channel();
+        self.state().waiting.push(Waiter { ticket, since: Instant::now(), grant });
+        self.grant_next();
+        granted.await.expect("a waiter is dropped only after its grant")
+    }
+
+    /// Grants free slots to the calls that the policy chooses.
+    fn grant_next(self: &Arc<Slots>) {
+        while let Some(waiter) = self.take_next() {
+            // A waiter that has gone drops the permit, which frees the slot again.
+            let permit = Permit { slots: Some(self.clone()) };
+            if let Err(permit) = waiter.grant.send(permit) {
+                permit.forget();
+            }
+        }
+    }
+
+    fn take_next(&self) -> Option<Waiter> {
+        let mut state = self.state();
+        let state = &mut *state;
+        state.waiting.retain(|it| !it.grant.is_closed());
+        let free = state.slots.saturating_sub(state.running);
+        if free == 0 || state.waiting.is_empty() {
+            return None;
+        }
+        let now = Instant::now();
+        let waiting: Vec<Waiting> = state.waiting.iter().map(|it| it.describe(now)).collect();
+        let index = pick(state.strategy, &waiting, &state.shares, free, state.slots)?;
+        let waiter = state.waiting.remove(index);
+        let ticket = &waiter.ticket;
+        state.shares.advance(&ticket.member);
+        state.shares.charge(&ticket.member, ticket.share, ticket.tokens);
+        state.running += 1;
+        Some(waiter)
+    }
+
+    fn free(&self) {
+        let mut state = self.state();
+        state.running = state.running.saturating_sub(1);
+    }
+}
+
+impl Waiter {
+    fn describe(&self, now: Instant) -> Waiting {
+        Waiting {
+            member: self.ticket.member.clone(),
+            priority: self.ticket.priority,
+            reserved: self.ticket.reserved,
+            attained: self.ticket.attained,
+            waited_s: (now - self.since).max(Duration::ZERO).as_secs_f64(),
+        }
+    }
+}
+
+impl Permit {
+    /// Frees the slot without granting it on, for use while grants are under way.
+    fn forget(mut self) {
+        if let Some(slots) = self.slots.take() {
+            slots.free();
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(slots) = self.slots.take() {
+            slots.free();
+            slots.grant_next();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rosethread_node/src/feed.rs
@@ -0,0 +1,208 @@
+//! The answer to a running call, shared by everyone who waits for it.
+//!
+//! The text is kept from its start, so a caller who joins late or comes back gets the whole
+//! answer, and a slow caller delays nobody.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use displaydoc::Display;
+use rosethread_types::Refusal;
+use tokio::sync::{mpsc, watch};
+
+use crate::call::{Answer, CallEvent};
+
+/// A restarted answer differs from what callers have already received.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub struct Diverged;
+
+impl std::error::Error for Diverged {}
+
+/// Joins several attempts at one answer into one text.
+///
+/// After a restart the new text must repeat the old byte for byte before it goes on.
+#[derive(Debug, Default)]
+pub struct Splice {
+    text: String,
+    position: usize,
+}
+
+impl Splice {
+    /// Returns the text so far.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Starts the text again from its beginning.
+    pub fn restart(&mut self) {
+        self.position = 0;
+    }
+
+    /// Adds the next part of the current attempt and returns what is new in it.
+    pub fn push(&mut self, part: &str) -> Result<String, Diverged> {
+        let known = &self.text[self.position..];
+        if part.len() <= known.len() {
+            if !known.starts_with(part) {
+                return Err(Diverged);
+            }
+            self.position += part.len();
+            return Ok(String::new());
+        }
+        let Some(fresh) = part.strip_prefix(known) else {
+            return Err(Diverged);
+        };
+        let fresh = fresh.to_owned();
+        self.text.push_str(&fresh);
+        self.position = self.text.len();
+        Ok(fresh)
+    }
+}
+
+#[derive(Default)]
+struct State {
+    splice: Splice,
+    result: Option<Result<Answer, Refusal>>,
+}
+
+/// The answer to one running call.
+pub struct Feed {
+    state: Mutex<State>,
+    /// Rises with each change; its receivers are the readers.
+    version: watch::Sender<u64>,
+}
+
+impl Feed {
+    /// Returns an empty feed.
+    pub fn new() -> Arc<Feed> {
+        Arc::new(Feed { state: Mutex::default(), version: watch::Sender::new(0) })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the feed panics")
+    }
+
+    fn changed(&self) {
+        self.version.send_modify(|it| *it += 1);
+    }
+
+    /// Adds text from the current attempt.
+    pub fn push(&self, part: &str) -> Result<(), Diverged> {
+        let fresh = self.state().splice.push(part)?;
+        if !fresh.is_empty() {
+            self.changed();
+        }
+        Ok(())
+    }
+
+    /// Takes note that another attempt starts.
+    pub fn restart(&self) {
+        self.state().splice.restart();
+    }
+
+    /// Returns the text so far.
+    pub fn text(&self) -> String {
+        self.state().splice.text().to_owned()
+    }
+
+    /// Ends the feed.
+    pub fn finish(&self, result: Result<Answer, Refusal>) {
+        self.state().result = Some(result);
+        self.changed();
+    }
+
+    /// Waits until nobody reads the feed any more.
+    pub async fn abandoned(&self) {
+        self.version.closed().await;
+    }
+
+    /// Tells whether nobody reads the feed at present.
+    pub fn is_abandoned(&self) -> bool {
+        self.version.is_closed()
+    }
+
+    /// Returns a reader that starts at the beginning of the answer.
+    pub fn subscribe(self: &Arc<Feed>) -> FeedReader {
+        let mut changes = self.version.subscribe();
+        changes.mark_changed();
+        FeedReader { feed: self.clone(), changes, position: 0, is_over: false }
+    }
+}
+
+/// A reader of a feed.
+pub struct FeedReader {
+    feed: Arc<Feed>,
+    changes: watch::Receiver<u64>,
+    position: usize,
+    is_over: bool,
+}
+
+impl FeedReader {
+    /// Waits for the next event; returns nothing after the last.
+    pub async fn next(&mut self) -> Option<CallEvent> {
+        while !self.is_over {
+            if let Some(event) = self.take() {
+                return Some(event);
+            }
+            if self.changes.changed().await.is_err() {
+                return None;
+            }
+        }
+        None
+    }
+
+    fn take(&mut self) -> Option<CallEvent> {
+        self.changes.mark_unchanged();
+        let state = self.feed.state();
+        let text = state.splice.text();
+        if self.position < text.len() {
+            let part = text[self.position..].to_owned();
+            self.position = text.len();
+            return Some(CallEvent::Text(part));
+        }
+        let result = state.result.clone()?;
+        self.is_over = true;
+        Some(match result {
+            Ok(answer) => CallEvent::Done(answer),
+            Err(refusal) => CallEvent::Refused(refusal),
+        })
+    }
+}
+
+/// The stream of a call's events, from this node or another.
+pub enum CallStream {
+    /// From a call that runs here.
+    Local(FeedReader),
+    /// From another node, or already complete.
+    Channel(mpsc::Receiver<CallEvent>),
+}
+
+impl CallStream {
+    /// Returns a stream that consists of `events`.
+    pub fn of(events: Vec<CallEvent>) -> CallStream {
+        let (sender, receiver) = mpsc::channel(events.len().max(1));
+        for event in events {
+            sender.try_send(event).expect("the channel has room for all events");
+        }
+        CallStream::Channel(receiver)
+    }
+
+    /// Waits for the next event; returns nothing after the last, or if the stream broke off.
+    pub async fn next(&mut self) -> Option<CallEvent> {
+        match self {
+            CallStream::Local(reader) => reader.next().await,
+            CallStream::Channel(receiver) => receiver.recv().await,
+        }
+    }
+
+    /// Reads the stream to its end.
+    pub async fn collect(mut self) -> Result<Answer, Refusal> {
+        while let Some(event) = self.next().await {
+            match event {
+                CallEvent::Text(_) => (),
+                CallEvent::Done(answer) => return Ok(answer),
+                CallEvent::Refused(refusal) => return Err(refusal),
+            }
+        }
+        let reason = rosethread_types::Reason::OutcomeUnknown;
+        Err(Refusal::unknown(reason, "the answer broke off"))
+    }
+}
--- /dev/null
+++ b/crates/rosethread_node/src/owner/run.rs
@@ -0,0 +1,383 @@
+//! Runs one admitted call to its end.
+
+use std::{sync::Arc, time::Duration};
+
+use rosethread_config::{Class, HistoryRule};
+use rosethread_platform::Ran;
+use rosethread_policy::judge;
+use rosethread_policy::{
+    Demand, Forecast, PauseChoice, PauseCost, Strategy, backoff, choose_pause,
+};
+use rosethread_program::{Event, Exchange, Finish, Usage};
+use rosethread_types::{Outcome, Reason, Refusal, Tokens};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::{
+    call::{Answer, Work},
+    core::Core,
+    dispatch::{Held, Ticket, acquire},
+    feed::Feed,
+    owner::{
+        Owned,
+        create::class_of,
+        journalling,
+        place::{self, Chosen, Need, Prompt},
+        send::{self, Failure, Finished},
+        serve::{Bounded, grow_ahead, time_left},
+        strategy,
+    },
+};
+
+/// How long a queued call outlives its last caller, who may come back.
+const ABANDONED: Duration = Duration::from_secs(2);
+
+/// The pressure from which an engine is told to keep a program's cache.
+const HOLD_PRESSURE: f64 = 0.5;
+
+/// The pause expected between two calls before anything is known, in seconds.
+const EXPECTED_PAUSE_S: f64 = 5.0;
+
+/// A call without an answer, and what it cost all the same.
+struct Loss {
+    refusal: Refusal,
+    cost: Tokens,
+}
+
+impl From<Refusal> for Loss {
+    fn from(refusal: Refusal) -> Loss {
+        Loss { refusal, cost: 0 }
+    }
+}
+
+/// Runs a call that has been admitted, and settles it.
+pub(super) async fn run(core: Arc<Core>, owned: Arc<Owned>, bounded: Bounded, feed: Arc<Feed>) {
+    let _guard = core.count_call();
+    let arrived = Instant::now();
+    let member = owned.id.member.clone();
+    let is_counted = start_limits(&core, &bounded);
+    let result = match &is_counted {
+        Ok(()) => execute(&core, &owned, &bounded, &feed).await,
+        Err(refusal) => Err(refusal.clone().into()),
+    };
+    if is_counted.is_ok() {
+        core.limits.end(&member);
+    }
+    let result = settle(&core, &owned, &bounded, result);
+    core.metrics.observe_call(&owned.lock().program.grant.class, arrived.elapsed(), &result);
+    feed.finish(result);
+    owned.notify();
+    grow_ahead(&core, &owned);
+}
+
+fn start_limits(core: &Core, bounded: &Bounded) -> Result<(), Refusal> {
+    let Some(member) = bounded.in_force.document.member(&bounded.call.program.member) else {
+        let detail = "the member is no longer in the document";
+        return Err(Refusal::not_run(Reason::Forbidden, detail));
+    };
+    let part = limit_part(core);
+    core.limits.start(member, core.now(), part, bounded.head.worst)
+}
+
+/// Returns this node's part of all members' limits, by its part of the calls under way.
+fn limit_part(core: &Core) -> f64 {
+    let view = core.view();
+    let nodes = view.live().count();
+    let total: u32 = view.live().map(|it| it.summary.calls).sum();
+    let own = view.get(core.me()).map_or(0, |it| it.summary.calls);
+    rosethread_policy::local_share(f64::from(own), f64::from(total), nodes)
+}
+
+async fn execute(
+    core: &Arc<Core>,
+    owned: &Arc<Owned>,
+    bounded: &Bounded,
+    feed: &Arc<Feed>,
+) -> Result<Finished, Loss> {
+    let deadline = Instant::now() + time_left(core, &bounded.call);
+    let class = class_of(&bounded.in_force.document, &owned.lock().program.grant)?.clone();
+    if !bounded.call.repeatable {
+        announce(core, owned, bounded, deadline).await?;
+    }
+    let mut cost = 0;
+    for attempt in 0.. {
+        let may_have_run = attempt != 0;
+        let slot = take_slot(core, owned, bounded, &class, deadline, feed).await;
+        let (chosen, held) = slot.map_err(|it| Loss { refusal: weaken(it, may_have_run), cost })?;
+        if !journalling::is_owner(core, owned) {
+            let refusal = Refusal::not_run(Reason::NotOwner, "another node owns the program");
+            return Err(Loss { refusal: weaken(refusal, may_have_run), cost });
+        }
+        let sent = send::send(core, owned, bounded, &chosen.target, feed, deadline).await;
+        drop(held);
+        let failure = match sent {
+            Ok(finished) => return Ok(finished),
+            Err(failure) => failure,
+        };
+        cost += failure.generated;
+        if !may_retry(core, bounded, &class, &chosen, &failure, attempt) {
+            return Err(Loss { refusal: give_up(bounded, &failure, may_have_run), cost });
+        }
+        let delay = backoff(attempt, core.random.fraction());
+        if timeout_at(deadline, sleep(delay)).await.is_err() {
+            return Err(Loss { refusal: give_up(bounded, &failure, may_have_run), cost });
+        }
+        feed.restart();
+    }
+    unreachable!("attempts end by success or by giving up")
+}
+
+/// Journals the intent of a call that must not be repeated, and waits until it counts.
+async fn announce(
+    core: &Arc<Core>,
+    owned: &Arc<Owned>,
+    bounded: &Bounded,
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    let event = Event::Intended(bounded.head.request.clone());
+    let waiting = journalling::record_and_wait(core, owned, event);
+    match timeout_at(deadline, waiting).await {
+        Ok(Ok(true)) => Ok(()),
+        Ok(Ok(false)) => Err(Refusal::not_run(Reason::NotOwner, "another node owns the program")),
+        Ok(Err(_)) | Err(_) => {
+            let detail = "the log did not take the intent before the deadline";
+            let refusal = Refusal::not_run(Reason::JournalUnavailable, detail);
+            Err(refusal.retry_after(Duration::from_secs(1)))
+        }
+    }
+}
+
+/// Chooses a target and waits for one of its slots.
+async fn take_slot(
+    core: &Arc<Core>,
+    owned: &Arc<Owned>,
+    bounded: &Bounded,
+    class: &Class,
+    deadline: Instant,
+    feed: &Arc<Feed>,
+) -> Result<(Chosen, Held), Refusal> {
+    let chosen = choose(core, owned, bounded, class)?;
+    if strategy(&bounded.in_force.document) == Strategy::Adaptive {
+        let is_underway = 0 < bounded.head.turn;
+        let demand = Demand { deadline: deadline - Instant::now(), is_underway };
+        let forecast = Forecast { wait_s: chosen.wait_s, service_s: chosen.service_s };
+        judge(demand, forecast).map_err(|retry| {
+            let detail = "the deadline cannot be met";
+            Refusal::not_run(Reason::Overloaded, detail).retry_after(retry)
+        })?;
+    }
+    let ticket = ticket(owned, bounded, class);
+    let abandoned = async {
+        loop {
+            feed.abandoned().await;
+            sleep(ABANDONED).await;
+            if feed.is_abandoned() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        held = acquire(core, &chosen.target, ticket) => Ok((chosen, held)),
+        () = tokio::time::sleep_until(deadline) => {
+            let detail = "no slot was free before the deadline";
+            let refusal = Refusal::not_run(Reason::DeadlineExceeded, detail);
+            Err(refusal.retry_after(Duration::from_secs(1)))
+        }
+        () = abandoned => {
+            Err(Refusal::not_run(Reason::Cancelled, "the caller has gone"))
+        }
+    }
+}
+
+fn choose(core: &Core, owned: &Owned, bounded: &Bounded, class: &Class) -> Result<Chosen, Refusal> {
+    let document = &bounded.in_force.document;
+    let (model, cached, history) = {
+        let state = owned.lock();
+        let history = state.program.history.prompt_tokens();
+        (state.program.grant.model.clone(), state.cached.clone(), history)
+    };
+    let (need, tokens) = match &bounded.call.work {
+        Work::Model { .. } => (Need::Model(&model), history + bounded.head.worst),
+        Work::Service { service, .. } => (Need::Service(service), 0),
+    };
+    let prompt = Prompt { tokens, cached: cached.as_ref() };
+    place::choose(core, document, need, &owned.id.member, Some(class), prompt)
+}
+
+fn ticket(owned: &Owned, bounded: &Bounded, class: &Class) -> Ticket {
+    let member = &owned.id.member;
+    let share = bounded.in_force.document.member(member).map_or(1, |it| it.share);
+    Ticket {
+        member: member.clone(),
+        share,
+        priority: class.priority,
+        reserved: class.reserved,
+        attained: owned.lock().program.account.spent,
+        tokens: bounded.head.worst,
+    }
+}
+
+fn may_retry(
+    core: &Core,
+    bounded: &Bounded,
+    class: &Class,
+    chosen: &Chosen,
+    failure: &Failure,
+    attempt: u32,
+) -> bool {
+    let is_safe = bounded.call.repeatable || failure.ran == Ran::No;
+    if !is_safe || !failure.is_retryable || class.retries <= attempt {
+        return false;
+    }
+    core.dispatch.update_health(&chosen.target.name, |it| it.retries.take())
+}
+
+/// Returns the final refusal of a call whose last attempt failed.
+fn give_up(bounded: &Bounded, failure: &Failure, may_have_run: bool) -> Refusal {
+    let refusal = match failure.ran {
+        Ran::No => Refusal::not_run(failure.reason, failure.detail.clone()),
+        Ran::Maybe if bounded.call.repeatable => {
+            Refusal::failed(failure.reason, failure.detail.clone())
+        }
+        Ran::Maybe => Refusal::unknown(failure.reason, failure.detail.clone()),
+    };
+    weaken(refusal, may_have_run).retry_after(Duration::from_millis(500))
+}
+
+/// Replaces "not run" by "failed" where an earlier attempt may have run.
+fn weaken(refusal: Refusal, may_have_run: bool) -> Refusal {
+    if may_have_run && refusal.outcome == Outcome::NotRun {
+        return Refusal { outcome: Outcome::Failed, ..refusal };
+    }
+    refusal
+}
+
+/// Brings the program's state up to date with the call's end, and returns the caller's answer.
+fn settle(
+    core: &Arc<Core>,
+    owned: &Arc<Owned>,
+    bounded: &Bounded,
+    result: Result<Finished, Loss>,
+) -> Result<Answer, Refusal> {
+    let is_owner = journalling::is_owner(core, owned);
+    match result {
+        Ok(_) if !is_owner && bounded.call.repeatable => {
+            settle_loss(core, owned, bounded, Outcome::Failed, 0);
+            let detail = "another node took the program over during the call";
+            Err(Refusal::unknown(Reason::NotOwner, detail))
+        }
+        Ok(finished) => Ok(settle_answer(core, owned, bounded, finished)),
+        Err(loss) => {
+            settle_loss(core, owned, bounded, loss.refusal.outcome, loss.cost);
+            Err(owned.lock().program.qualify(&bounded.head, loss.refusal))
+        }
+    }
+}
+
+fn settle_loss(
+    core: &Arc<Core>,
+    owned: &Arc<Owned>,
+    bounded: &Bounded,
+    outcome: Outcome,
+    cost: Tokens,
+) {
+    let request = &bounded.head.request;
+    let event = {
+        let mut state = owned.lock();
+        state.feeds.remove(request);
+        state.program.finish(request, Finish::Refused { outcome, cost })
+    };
+    if let Some(event) = event {
+        journalling::record_detached(core, owned, event);
+    }
+}
+
+fn settle_answer(
+    core: &Arc<Core>,
+    owned: &Arc<Owned>,
+    bounded: &Bounded,
+    finished: Finished,
+) -> Answer {
+    let request = &bounded.head.request;
+    let (event, answer) = {
+        let mut state = owned.lock();
+        state.feeds.remove(request);
+        let is_prompted = bounded.call.work.is_prompted();
+        let known = state.program.history.prompt_tokens();
+        let cost = if is_prompted {
+            finished.usage.prompt.saturating_sub(known) + finished.usage.completion
+        } else {
+            0
+        };
+        let exchange = Exchange {
+            request: request.clone(),
+            input: bounded.call.work.input().to_owned(),
+            answer: finished.text.clone(),
+            prompted: is_prompted,
+            usage: finished.usage,
+        };
+        let turn = state.program.history.next_turn();
+        let cost = cost.min(bounded.head.worst);
+        let event = state.program.finish(request, Finish::Done { exchange, cost });
+        if is_prompted {
+            let tokens = finished.usage.prompt + finished.usage.completion;
+            state.cached = Some((finished.target.name.clone(), tokens));
+        }
+        let answer = Answer {
+            text: finished.text,
+            turn,
+            usage: finished.usage,
+            spent: state.program.account.spent,
+            continuation: state.continuation(core),
+        };
+        (event, answer)
+    };
+    if let Some(event) = event {
+        journalling::record_detached(core, owned, lighten(owned, bounded, event));
+    }
+    hold_cache(core, owned, &finished.target, finished.usage);
+    answer
+}
+
+/// Leaves the exchange out of the journal where the class has callers keep it.
+///
+/// A call that must not be repeated is always journalled whole, since its answer is the only one.
+fn lighten(owned: &Owned, bounded: &Bounded, event: Event) -> Event {
+    let state = owned.lock();
+    let class = class_of(&bounded.in_force.document, &state.program.grant);
+    let by_caller = class.is_ok_and(|it| it.history == HistoryRule::Caller);
+    match event {
+        Event::Finished { turn, spent, .. } if by_caller && bounded.call.repeatable => {
+            Event::Finished { turn, spent, exchange: None }
+        }
+        event => event,
+    }
+}
+
+/// Tells an engine under pressure to keep the program's cache through the pause that follows.
+fn hold_cache(
+    core: &Arc<Core>,
+    owned: &Arc<Owned>,
+    target: &rosethread_config::Target,
+    usage: Usage,
+) {
+    let Some(engine) = target.engine() else {
+        return;
+    };
+    let is_adaptive = strategy(&core.document.borrow().document) == Strategy::Adaptive;
+    let pressure = core.dispatch.update_health(&target.name, |it| it.pressure());
+    if !is_adaptive || pressure < HOLD_PRESSURE {
+        return;
+    }
+    let cost = PauseCost {
+        expected_s: EXPECTED_PAUSE_S,
+        tokens: usage.prompt + usage.completion,
+        pressure,
+        memory: engine.memory,
+        prefill_rate: f64::from(engine.prefill_rate),
+    };
+    if let PauseChoice::Hold(time) = choose_pause(cost) {
+        let hold = rosethread_platform::CacheHold::Keep(time);
+        send::release_detached(core, &owned.id, target, hold);
+    }
+}
--- /dev/null
+++ b/crates/rosethread_node/src/owner/serve.rs
@@ -0,0 +1,238 @@
+//! Admits calls to owned programs.
+
+use std::{sync::Arc, time::Duration};
+
+use rosethread_config::InForce;
+use rosethread_program::{Admission, CallHead, Event, Exchange};
+use rosethread_types::{Reason, Refusal, Tokens};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    call::{Answer, Call, CallEvent, Work},
+    core::Core,
+    feed::{CallStream, Feed},
+    owner::{Owned, OwnedState, Tenure, create::class_of, journalling, run},
+};
+
+/// Tokens that a chat template adds to each message at most.
+const TEMPLATE_TOKENS: Tokens = 8;
+
+/// When a caller should ask again while the log is unavailable.
+const LOG_RETRY: Duration = Duration::from_secs(1);
+
+/// What became of a call at its owner.
+pub(crate) enum Served {
+    /// The call's stream.
+    Stream(CallStream),
+    /// This node no longer owns the program.
+    Lost,
+}
+
+/// A call whose tokens have been bounded.
+pub(super) struct Bounded {
+    pub(super) call: Call,
+    /// Tokens that the call adds to the history at worst.
+    pub(super) head: CallHead,
+    /// The most tokens to generate.
+    pub(super) max_tokens: Tokens,
+    pub(super) in_force: Arc<InForce>,
+}
+
+/// Serves a call of a program that this node owns.
+pub(crate) async fn serve(core: &Arc<Core>, owned: &Arc<Owned>, call: Call) -> Served {
+    match admit(core, owned, call).await {
+        Ok(served) => served,
+        Err(refusal) => Served::Stream(CallStream::of(vec![CallEvent::Refused(refusal)])),
+    }
+}
+
+async fn admit(core: &Arc<Core>, owned: &Arc<Owned>, call: Call) -> Result<Served, Refusal> {
+    let in_force = core.document()?;
+    check_continuation(core, owned, &call)?;
+    let bounded = bound(owned, call, in_force)?;
+    let head = bounded.head.clone();
+    let arrived = Instant::now();
+    let early = arrived + Duration::from_millis(core.settings.limits.early_ms);
+    let deadline = arrived + time_left(core, &bounded.call);
+    let mut changed = owned.changed.subscribe();
+    loop {
+        if !journalling::is_owner(core, owned) {
+            owned.lose(core);
+            return Ok(Served::Lost);
+        }
+        let step = step(core, &mut owned.lock(), &head);
+        match step {
+            Step::Frozen => {
+                let reason = Reason::NotOwner;
+                let detail = "the program is being handed over";
+                wait(&mut changed, deadline, reason, detail).await?;
+            }
+            Step::Admission(Admission::Start) => return Ok(start(core, owned, bounded)),
+            Step::Admission(Admission::Join) => return Ok(join(owned, &head)),
+            Step::Admission(Admission::Replay(exchange)) => {
+                return Ok(Served::Stream(replay(core, owned, &exchange, head.turn)));
+            }
+            Step::Admission(Admission::Wait) => {
+                let detail = "an earlier turn has not finished";
+                let refusal = wait(&mut changed, early.min(deadline), Reason::EarlyTurn, detail);
+                refusal.await.map_err(|it| owned.lock().program.qualify(&head, it))?;
+            }
+            Step::Admission(Admission::Grow(limit)) => {
+                let growing = timeout_at(deadline, grow(core, owned, limit)).await;
+                let growing = growing.unwrap_or_else(|_| Err(not_journalled()));
+                growing.map_err(|it| owned.lock().program.qualify(&head, it))?;
+            }
+            Step::Admission(Admission::Refuse(refusal)) => return Err(refusal),
+        }
+    }
+}
+
+enum Step {
+    Frozen,
+    Admission(Admission),
+}
+
+fn step(core: &Core, state: &mut OwnedState, head: &CallHead) -> Step {
+    state.last_used = Instant::now();
+    if state.frozen {
+        return Step::Frozen;
+    }
+    Step::Admission(state.program.admit(head, core.clock.now_ms()))
+}
+
+/// Returns the time until a call's deadline.
+pub(super) fn time_left(core: &Core, call: &Call) -> Duration {
+    Duration::from_millis(call.deadline_ms.saturating_sub(core.clock.now_ms()))
+}
+
+/// Waits until the program changes, or refuses at `until`.
+async fn wait(
+    changed: &mut tokio::sync::watch::Receiver<u64>,
+    until: Instant,
+    reason: Reason,
+    detail: &str,
+) -> Result<(), Refusal> {
+    match timeout_at(until, changed.changed()).await {
+        Ok(_) => Ok(()),
+        Err(_) => Err(Refusal::not_run(reason, detail).retry_after(Duration::from_millis(200))),
+    }
+}
+
+fn check_continuation(core: &Core, owned: &Owned, call: &Call) -> Result<(), Refusal> {
+    let Some(text) = &call.continuation else {
+        return Ok(());
+    };
+    let continuation = core
+        .seal
+        .open(text)
+        .map_err(|it| Refusal::not_run(Reason::BadContinuation, it.to_string()))?;
+    let mut state = owned.lock();
+    if continuation.grant == state.program.grant && !call.supplied.is_empty() {
+        state.program.supply(&continuation, &call.supplied)?;
+    }
+    state.program.check(&continuation)
+}
+
+/// Bounds the tokens of a call: its new input by bytes, its output by the class and the budget.
+fn bound(owned: &Owned, call: Call, in_force: Arc<InForce>) -> Result<Bounded, Refusal> {
+    let state = owned.lock();
+    let class = class_of(&in_force.document, &state.program.grant)?;
+    let (input, wanted) = match &call.work {
+        Work::Model { messages, max_tokens } => {
+            let wanted = max_tokens.unwrap_or(class.max_tokens);
+            (input_bound(messages)?, wanted)
+        }
+        Work::Service { .. } => (0, 0),
+    };
+    let room = state.program.account.left().saturating_sub(input);
+    let max_tokens = if room == 0 { wanted } else { wanted.min(room) };
+    let worst = input + max_tokens;
+    let prompted = call.work.is_prompted();
+    let head = CallHead::new(call.request.clone(), call.turn, prompted, call.work.input(), worst)
+        .repeatable(call.repeatable)
+        .retry(call.retry);
+    drop(state);
+    Ok(Bounded { call, head, max_tokens, in_force })
+}
+
+/// Returns the most tokens that `messages` can have: no token is shorter than a byte.
+fn input_bound(messages: &str) -> Result<Tokens, Refusal> {
+    let parsed: Vec<serde_json::Value> = serde_json::from_str(messages).map_err(|it| {
+        Refusal::not_run(Reason::BadRequest, format!("messages: must be a JSON array: {it}"))
+    })?;
+    if parsed.is_empty() {
+        return Err(Refusal::not_run(Reason::BadRequest, "messages: must not be empty"));
+    }
+    Ok(messages.len() as Tokens + TEMPLATE_TOKENS * parsed.len() as Tokens)
+}
+
+fn start(core: &Arc<Core>, owned: &Arc<Owned>, bounded: Bounded) -> Served {
+    let feed = Feed::new();
+    owned.lock().feeds.insert(bounded.head.request.clone(), feed.clone());
+    let reader = feed.subscribe();
+    core.tasks.spawn(run::run(core.clone(), owned.clone(), bounded, feed));
+    Served::Stream(CallStream::Local(reader))
+}
+
+fn join(owned: &Owned, head: &CallHead) -> Served {
+    let feed = owned.lock().feeds.get(&head.request).cloned();
+    match feed {
+        Some(feed) => Served::Stream(CallStream::Local(feed.subscribe())),
+        None => Served::Lost,
+    }
+}
+
+/// Returns the kept answer of a finished call.
+fn replay(core: &Core, owned: &Owned, exchange: &Exchange, turn: u32) -> CallStream {
+    let state = owned.lock();
+    let answer = Answer {
+        text: exchange.answer.clone(),
+        turn,
+        usage: exchange.usage,
+        spent: state.program.account.spent,
+        continuation: state.continuation(core),
+    };
+    let text = CallEvent::Text(exchange.answer.clone());
+    CallStream::of(vec![text, CallEvent::Done(answer)])
+}
+
+/// Waits until the journal holds a larger limit for the program.
+pub(super) async fn grow(
+    core: &Arc<Core>,
+    owned: &Arc<Owned>,
+    limit: Tokens,
+) -> Result<(), Refusal> {
+    if !core.journal.is_up() {
+        return Err(not_journalled());
+    }
+    let counts = journalling::record_and_wait(core, owned, Event::Reserved(limit)).await;
+    match counts {
+        Ok(true) => {
+            owned.lock().program.account.confirm(limit);
+            Ok(())
+        }
+        Ok(false) => Err(Refusal::not_run(Reason::NotOwner, "another node owns the program")),
+        Err(_) => Err(not_journalled()),
+    }
+}
+
+fn not_journalled() -> Refusal {
+    let detail = "the block of the budget that the journal holds is spent";
+    Refusal::not_run(Reason::BudgetNotJournalled, detail).retry_after(LOG_RETRY)
+}
+
+/// Journals a larger limit ahead of need.
+pub(super) fn grow_ahead(core: &Arc<Core>, owned: &Arc<Owned>) {
+    let limit = {
+        let state = owned.lock();
+        let is_confirmed = matches!(state.tenure, Tenure::Confirmed(_));
+        state.program.account.limit_ahead().filter(|_| is_confirmed)
+    };
+    if let Some(limit) = limit {
+        let (core, owned) = (core.clone(), owned.clone());
+        core.tasks.clone().spawn(async move {
+            // A refusal here is repeated to the call that needs the limit.
+            let _ = grow(&core, &owned, limit).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/rosethread_node/src/owner/takeover.rs
@@ -0,0 +1,141 @@
+//! Takes over a program whose owner is gone.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use rosethread_journal::{JournalError, Verdict};
+use rosethread_program::{Continuation, Event, Grant, Program, Recovery};
+use rosethread_types::{Epoch, ProgramId, Reason, Refusal, TargetName};
+use slog::info;
+use tokio::time::Instant;
+
+use crate::{
+    core::Core,
+    owner::{
+        Owned, Tenure, journalling,
+        place::{Need, eligible},
+        send,
+    },
+};
+
+/// When a caller should ask again while the log is unavailable.
+const LOG_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Claims `program`, rebuilds it from the journal, and cancels what its last owner left running.
+///
+/// Several calls of the same program wait for one takeover. Fails if another node claimed first.
+pub(crate) async fn take_over(
+    core: &Arc<Core>,
+    program: &ProgramId,
+    continuation: Option<&Continuation>,
+) -> Result<Arc<Owned>, Refusal> {
+    let lock = core.takeover_lock(program);
+    let _guard = lock.lock().await;
+    if let Some(owned) = core.owned(program) {
+        return Ok(owned);
+    }
+    if !core.journal.is_up() || !core.journal.is_caught_up() {
+        return Err(log_unavailable());
+    }
+    let started = Instant::now();
+    let (replaced, grant) = find(core, program, continuation).await?;
+    check_alive(core, &grant)?;
+    let event = Event::Claimed(grant);
+    let verdict = journalling::claim(core, program, replaced, event).await;
+    let epoch = match verdict {
+        Ok(Verdict::Counted(epoch)) => epoch,
+        Ok(Verdict::Void { owner, .. }) => {
+            let detail = format!("{owner} claimed the program first");
+            return Err(Refusal::not_run(Reason::NotOwner, detail));
+        }
+        Err(_) => return Err(log_unavailable()),
+    };
+    let recovery = core.journal.recover(program).await.map_err(refuse)?;
+    let state = rebuild(recovery, continuation)?;
+    let engines = cancel_streams(core, &state).await;
+    let stranded = state.account.stranded;
+    let owned = Owned::new(program.clone(), state, Tenure::Confirmed(epoch));
+    restore_cache(&owned, continuation, engines);
+    core.insert_owned(owned.clone());
+    core.metrics.observe_takeover(started.elapsed(), stranded);
+    info!(core.logger, "owner: took program {} over at epoch {}", program, epoch.0);
+    Ok(owned)
+}
+
+fn log_unavailable() -> Refusal {
+    let detail = "the program's owner is gone and the log is unavailable";
+    Refusal::not_run(Reason::JournalUnavailable, detail).retry_after(LOG_RETRY)
+}
+
+fn refuse(_error: JournalError) -> Refusal {
+    log_unavailable()
+}
+
+/// Returns the epoch to replace and what the program was given.
+async fn find(
+    core: &Core,
+    program: &ProgramId,
+    continuation: Option<&Continuation>,
+) -> Result<(Epoch, Grant), Refusal> {
+    let epoch = core.journal.fold().program(program).map(|it| it.epoch);
+    if let Some(continuation) = continuation {
+        return Ok((epoch.unwrap_or(Epoch::UNCLAIMED), continuation.grant.clone()));
+    }
+    let unknown = || Refusal::unknown(Reason::UnknownProgram, format!("no program {program}"));
+    let epoch = epoch.ok_or_else(unknown)?;
+    let recovery = core.journal.recover(program).await.map_err(refuse)?;
+    let grant = recovery.build().map(|it| it.grant).ok_or_else(unknown)?;
+    Ok((epoch, grant))
+}
+
+/// Refuses programs whose wall time is over: the journal may have forgotten what they spent.
+fn check_alive(core: &Core, grant: &Grant) -> Result<(), Refusal> {
+    if Program::new(grant.clone()).is_expired(core.clock.now_ms()) {
+        let detail = "the program's time is over";
+        return Err(Refusal::unknown(Reason::ProgramEnded, detail));
+    }
+    Ok(())
+}
+
+fn rebuild(recovery: Recovery, continuation: Option<&Continuation>) -> Result<Program, Refusal> {
+    let program = recovery.build();
+    let program =
+        program.or_else(|| continuation.and_then(|it| Recovery::from_continuation(it).build()));
+    let mut program = program.ok_or_else(|| {
+        Refusal::unknown(Reason::UnknownProgram, "the program's records have expired")
+    })?;
+    program.mark_inherited();
+    if let Some(continuation) = continuation {
+        let spent = program.account.spent.max(continuation.spent);
+        program.account.spent = spent;
+    }
+    Ok(program)
+}
+
+/// Cancels the streams that the last owner may have left at any engine of the program's model.
+///
+/// Returns the engines, any of which may hold cache for the program.
+async fn cancel_streams(core: &Core, program: &Program) -> BTreeSet<TargetName> {
+    let in_force = core.document.borrow().clone();
+    let grant = &program.grant;
+    let member = &grant.program.member;
+    let engines: Vec<_> = eligible(&in_force.document, Need::Model(&grant.model), member).collect();
+    let cancels = engines.iter().map(|it| {
+        let address = send::address(it);
+        // An engine that cannot be reached runs nothing that could reach the caller.
+        async move { core.targets.cancel(&address, &grant.program).await.is_ok() }
+    });
+    futures::future::join_all(cancels).await;
+    engines.into_iter().map(|it| it.name.clone()).collect()
+}
+
+fn restore_cache(
+    owned: &Owned,
+    continuation: Option<&Continuation>,
+    engines: BTreeSet<TargetName>,
+) {
+    let target = continuation.and_then(|it| it.target.clone());
+    let mut state = owned.lock();
+    let tokens = state.program.history.prompt_tokens();
+    state.cached = target.map(|it| (it, tokens));
+    state.touched = engines;
+}
--- /dev/null
+++ b/crates/rosethread_node/src/peers/udp.rs
@@ -0,0 +1,39 @@
+//! Heartbeats over UDP.
+
+use std::{io, net::SocketAddr};
+
+use async_trait::async_trait;
+use rosethread_membership::MAX_DATAGRAM;
+use tokio::net::UdpSocket;
+
+use crate::peers::Datagrams;
+
+/// A UDP socket for heartbeats.
+pub struct UdpDatagrams {
+    socket: UdpSocket,
+}
+
+impl UdpDatagrams {
+    /// Binds the socket.
+    pub async fn bind(address: SocketAddr) -> io::Result<UdpDatagrams> {
+        Ok(UdpDatagrams { socket: UdpSocket::bind(address).await? })
+    }
+}
+
+#[async_trait]
+impl Datagrams for UdpDatagrams {
+    async fn send(&self, to: SocketAddr, bytes: Vec<u8>) {
+        // A datagram that cannot be sent is lost like any other.
+        let _ = self.socket.send_to(&bytes, to).await;
+    }
+
+    async fn receive(&self) -> Vec<u8> {
+        let mut buffer = vec![0; MAX_DATAGRAM + 1];
+        loop {
+            // An error belongs to an earlier datagram, such as one to a closed port.
+            if let Ok((length, _)) = self.socket.recv_from(&mut buffer).await {
+                return buffer[..length].to_vec();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rosethread_platform/src/http.rs
@@ -0,0 +1,11 @@
+//! Adapters that meet the platform over HTTP, by `reqwest`.
+
+mod hosts;
+mod log;
+mod sse;
+mod targets;
+
+pub use hosts::HttpHosts;
+pub use log::HttpLog;
+pub use sse::SseBuffer;
+pub use targets::HttpTargets;
--- /dev/null
+++ b/crates/rosethread_platform/src/http/hosts.rs
@@ -0,0 +1,31 @@
+//! The host list over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+
+use crate::{HostEntry, HostList};
+
+/// How long a read of the host list may take.
+const HOSTS_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A host list served as JSON at `/hosts`.
+pub struct HttpHosts {
+    client: reqwest::Client,
+    url: String,
+}
+
+impl HttpHosts {
+    /// Returns the list served at `address`.
+    pub fn new(client: reqwest::Client, address: SocketAddr) -> HttpHosts {
+        HttpHosts { client, url: format!("http://{address}/hosts") }
+    }
+}
+
+#[async_trait]
+impl HostList for HttpHosts {
+    async fn hosts(&self) -> Option<Vec<HostEntry>> {
+        let reply = self.client.get(&self.url).timeout(HOSTS_TIMEOUT).send().await.ok()?;
+        reply.error_for_status().ok()?.json().await.ok()
+    }
+}
--- /dev/null
+++ b/crates/rosethread_platform/src/http/targets.rs
@@ -0,0 +1,261 @@
+//! Model engines and plain services over HTTP.
+//!
+//! Engines speak the chat-completions protocol with server-sent events; their management calls
+//! are described in `docs/PLATFORM.md`.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use futures::StreamExt;
+use rosethread_types::{Epoch, ProgramId};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use tokio::sync::mpsc;
+
+use crate::{
+    CacheHold, EngineEvent, EngineLoad, EngineRequest, EngineStream, EngineUsage, Order,
+    ServiceReply, ServiceRequest, TargetAddress, TargetError, Targets, http::sse::SseBuffer,
+};
+
+/// How long a management call to an engine may take.
+const MANAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How many events of a stream are buffered before the engine is slowed down.
+const STREAM_BUFFER: usize = 64;
+
+/// The event that ends a stream.
+const DONE: &str = "[DONE]";
+
+/// Targets that are met over HTTP.
+pub struct HttpTargets {
+    client: reqwest::Client,
+}
+
+#[derive(Serialize)]
+struct ChatRequest<'a> {
+    model: &'a str,
+    messages: &'a RawValue,
+    max_tokens: u64,
+    stream: bool,
+    priority: i32,
+    user: String,
+    request_id: String,
+    fence: u64,
+}
+
+#[derive(Deserialize)]
+struct ChatChunk {
+    #[serde(default)]
+    choices: Vec<ChatChoice>,
+    usage: Option<ChatUsage>,
+}
+
+#[derive(Deserialize)]
+struct ChatChoice {
+    delta: ChatDelta,
+}
+
+#[derive(Deserialize)]
+struct ChatDelta {
+    #[serde(default)]
+    content: String,
+}
+
+#[derive(Deserialize)]
+struct ChatUsage {
+    #[serde(default)]
+    prompt_tokens: u64,
+    #[serde(default)]
+    cached_tokens: u64,
+    completion_tokens: u64,
+}
+
+#[derive(Serialize)]
+struct CancelRequest {
+    user: String,
+}
+
+#[derive(Serialize)]
+struct ReleaseRequest<'a> {
+    user: String,
+    hold: &'a CacheHold,
+}
+
+#[derive(Serialize)]
+struct OrderRequest<'a> {
+    fence: u64,
+    #[serde(flatten)]
+    order: &'a Order,
+}
+
+impl HttpTargets {
+    /// Returns targets that are met through `client`.
+    pub fn new(client: reqwest::Client) -> HttpTargets {
+        HttpTargets { client }
+    }
+
+    async fn manage<T>(
+        &self,
+        target: &TargetAddress,
+        path: &str,
+        body: &T,
+    ) -> Result<(), TargetError>
+    where
+        T: Serialize + Sync,
+    {
+        let url = format!("http://{}{path}", target.address);
+        let request = self.client.post(url).json(body).timeout(MANAGE_TIMEOUT);
+        accepted(request.send().await.map_err(send_error)?).await?;
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Targets for HttpTargets {
+    async fn generate(
+        &self,
+        target: &TargetAddress,
+        request: EngineRequest,
+    ) -> Result<EngineStream, TargetError> {
+        let messages: Box<RawValue> = RawValue::from_string(request.messages)
+            .map_err(|it| TargetError::Rejected(it.to_string()))?;
+        let body = ChatRequest {
+            model: request.model.as_str(),
+            messages: &messages,
+            max_tokens: request.max_tokens,
+            stream: true,
+            priority: request.priority,
+            user: request.program.to_string(),
+            request_id: request.attempt.to_string(),
+            fence: request.epoch.0,
+        };
+        let url = format!("http://{}/v1/chat/completions", target.address);
+        let reply = self.client.post(url).json(&body).send().await.map_err(send_error)?;
+        let reply = accepted(reply).await?;
+        let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
+        tokio::spawn(pump(reply, sender));
+        Ok(receiver)
+    }
+
+    async fn cancel(&self, target: &TargetAddress, program: &ProgramId) -> Result<(), TargetError> {
+        let body = CancelRequest { user: program.to_string() };
+        self.manage(target, "/v1/cancel", &body).await
+    }
+
+    async fn release(
+        &self,
+        target: &TargetAddress,
+        program: &ProgramId,
+        hold: CacheHold,
+    ) -> Result<(), TargetError> {
+        let body = ReleaseRequest { user: program.to_string(), hold: &hold };
+        self.manage(target, "/v1/cache/release", &body).await
+    }
+
+    async fn load(&self, target: &TargetAddress) -> Result<EngineLoad, TargetError> {
+        let url = format!("http://{}/v1/load", target.address);
+        let reply = self.client.get(url).timeout(MANAGE_TIMEOUT).send().await;
+        let reply = accepted(reply.map_err(send_error)?).await?;
+        reply.json().await.map_err(|it| TargetError::Broken(it.to_string()))
+    }
+
+    async fn order(
+        &self,
+        target: &TargetAddress,
+        fence: Epoch,
+        order: Order,
+    ) -> Result<(), TargetError> {
+        let body = OrderRequest { fence: fence.0, order: &order };
+        self.manage(target, "/v1/orders", &body).await
+    }
+
+    async fn call(
+        &self,
+        target: &TargetAddress,
+        request: ServiceRequest,
+    ) -> Result<ServiceReply, TargetError> {
+        let url = format!("http://{}/{}", target.address, request.path.trim_start_matches('/'));
+        let sending = self
+            .client
+            .post(url)
+            .header("content-type", "application/json")
+            .header("x-request-id", request.attempt.to_string())
+            .body(request.body)
+            .timeout(request.timeout)
+            .send();
+        let reply = sending.await.map_err(send_error)?;
+        let status = reply.status().as_u16();
+        if status == 503 || status == 429 {
+            return Err(TargetError::Refused(format!("status {status}")));
+        }
+        let body = reply.text().await.map_err(send_error)?;
+        Ok(ServiceReply { status, body })
+    }
+}
+
+/// Carries the events of one generation from the connection to the stream.
+async fn pump(reply: reqwest::Response, sender: mpsc::Sender<Result<EngineEvent, TargetError>>) {
+    let mut body = reply.bytes_stream();
+    let mut buffer = SseBuffer::default();
+    let mut usage = EngineUsage::default();
+    while let Some(bytes) = body.next().await {
+        let is_taken = match bytes {
+            Ok(bytes) => buffer.push(&bytes),
+            Err(_) => false,
+        };
+        if !is_taken {
+            break;
+        }
+        while let Some(data) = buffer.next_data() {
+            if data == DONE {
+                let _ = sender.send(Ok(EngineEvent::Done(usage))).await;
+                return;
+            }
+            let Some(event) = read_chunk(&data, &mut usage) else {
+                continue;
+            };
+            if sender.send(Ok(event)).await.is_err() {
+                return;
+            }
+        }
+    }
+    let _ = sender.send(Err(TargetError::Broken("the stream ended early".to_owned()))).await;
+}
+
+/// Returns the text of a chunk and brings `usage` up to date.
+fn read_chunk(data: &str, usage: &mut EngineUsage) -> Option<EngineEvent> {
+    let chunk: ChatChunk = serde_json::from_str(data).ok()?;
+    if let Some(it) = chunk.usage {
+        *usage = EngineUsage {
+            prompt: it.prompt_tokens,
+            cached: it.cached_tokens,
+            completion: it.completion_tokens,
+        };
+    }
+    let text = chunk.choices.into_iter().next()?.delta.content;
+    Some(EngineEvent::Text { text, tokens: usage.completion })
+}
+
+async fn accepted(reply: reqwest::Response) -> Result<reqwest::Response, TargetError> {
+    let status = reply.status();
+    if status.is_success() {
+        return Ok(reply);
+    }
+    let text = reply.text().await.unwrap_or_default();
+    let detail = format!("status {}: {text}", status.as_u16());
+    match status.as_u16() {
+        409 | 429 | 503 => Err(TargetError::Refused(detail)),
+        400..500 => Err(TargetError::Rejected(detail)),
+        _ => Err(TargetError::Broken(detail)),
+    }
+}
+
+fn send_error(error: reqwest::Error) -> TargetError {
+    if error.is_connect() {
+        return TargetError::Unreachable(error.to_string());
+    }
+    if error.is_timeout() {
+        return TargetError::TimedOut;
+    }
+    TargetError::Broken(error.to_string())
+}
--- /dev/null
+++ b/crates/rosethread_policy/src/place.rs
@@ -0,0 +1,132 @@
+//! Which target serves a call.
+//!
+//! The cost of a candidate is expected latency plus wasted cache, in one currency. Waiting is
+//! estimated from the owner's own count of calls, never from a target's lagging report alone;
+//! the prefill of the uncached prefix is what a move away from the cache costs.
+
+use crate::Strategy;
+
+/// A target that may serve the call.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Candidate {
+    /// Calls that the target works on at once.
+    pub slots: u32,
+    /// Calls sent to the target and not finished.
+    pub running: u32,
+    /// Calls queued for the target.
+    pub waiting: u32,
+    /// Prompt tokens that the target is believed to cache for the program.
+    pub cached: u64,
+    /// The share of the target's cache memory that is pinned or in use, from 0 to 1.
+    pub pressure: f64,
+    /// Prompt tokens computed in a second.
+    pub prefill_rate: f64,
+    /// The mean time that a call occupies a slot, in seconds.
+    pub service_s: f64,
+    /// Time for a request to reach the target, in seconds.
+    pub distance_s: f64,
+    /// Whether the target fails at present.
+    pub is_broken: bool,
+}
+
+/// The call to place.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Request {
+    /// Tokens in the prompt.
+    pub prompt: u64,
+    /// The position of the program's last target among the candidates.
+    pub home: Option<usize>,
+    /// A number that rises with each placement, for taking turns.
+    pub turn: usize,
+}
+
+/// The weights of the two costs, set per class.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// The weight of a second of latency.
+    pub latency: f64,
+    /// The weight of a thousand wasted tokens.
+    pub waste: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        Weights { latency: 1.0, waste: 0.1 }
+    }
+}
+
+/// The chosen target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Placement {
+    /// Its position among the candidates.
+    pub index: usize,
+    /// Its cost; zero for baselines.
+    pub cost: f64,
+}
+
+/// Chooses a target, or nothing if every candidate is broken.
+pub fn place(
+    strategy: Strategy,
+    candidates: &[Candidate],
+    request: Request,
+    weights: Weights,
+) -> Option<Placement> {
+    let usable = candidates.iter().enumerate().filter(|(_, it)| !it.is_broken);
+    match strategy {
+        Strategy::Adaptive => usable
+            .map(|(index, it)| Placement { index, cost: cost(candidates, it, request, weights) })
+            .min_by(|a, b| a.cost.total_cmp(&b.cost)),
+        Strategy::RoundRobin => {
+            let usable: Vec<usize> = usable.map(|(index, _)| index).collect();
+            let index = *usable.get(request.turn % usable.len().max(1))?;
+            Some(Placement { index, cost: 0.0 })
+        }
+        Strategy::LeastLoaded => least_loaded(usable),
+        Strategy::Sticky => {
+            let home = request.home.filter(|it| candidates.get(*it).is_some_and(|c| !c.is_broken));
+            match home {
+                Some(index) => Some(Placement { index, cost: 0.0 }),
+                None => least_loaded(usable),
+            }
+        }
+    }
+}
+
+fn least_loaded<'a>(usable: impl Iterator<Item = (usize, &'a Candidate)>) -> Option<Placement> {
+    let (index, _) = usable.min_by_key(|(_, it)| it.running + it.waiting)?;
+    Some(Placement { index, cost: 0.0 })
+}
+
+/// Returns the cost of sending the call to `candidate`.
+fn cost(
+    candidates: &[Candidate],
+    candidate: &Candidate,
+    request: Request,
+    weights: Weights,
+) -> f64 {
+    let uncached = request.prompt.saturating_sub(candidate.cached) as f64;
+    let prefill_s = uncached / candidate.prefill_rate.max(1.0);
+    let latency_s = wait_s(candidate) + prefill_s + candidate.distance_s;
+    weights.latency * latency_s + weights.waste * waste(candidates, candidate, request) / 1_000.0
+}
+
+/// Returns the time until a slot is free, in seconds.
+///
+/// A batch that still has room slows its sequences down a little, which breaks ties between idle
+/// targets.
+fn wait_s(candidate: &Candidate) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let ahead = f64::from(candidate.running + candidate.waiting);
+    let queued = (ahead + 1.0 - slots).max(0.0);
+    let crowding = 0.05 * (ahead / slots).min(1.0);
+    candidate.service_s * (queued / slots + crowding)
+}
+
+/// Returns the tokens that the choice throws away: what other targets hold for the program and
+/// what the new prompt evicts where memory is short.
+fn waste(candidates: &[Candidate], candidate: &Candidate, request: Request) -> f64 {
+    let best = candidates.iter().map(|it| it.cached).max().unwrap_or(0);
+    let abandoned = best.saturating_sub(candidate.cached) as f64;
+    let evicted = request.prompt.saturating_sub(candidate.cached) as f64 * candidate.pressure;
+    abandoned + evicted
+}
--- /dev/null
+++ b/crates/rosethread_testbed/src/document.rs
@@ -0,0 +1,129 @@
+//! Builds documents for tests and examples.
+
+use std::net::SocketAddr;
+
+use rosethread_config::{
+    Class, Document, EngineSpec, HistoryRule, Member, PolicyName, ServiceSpec, Target, TargetKind,
+    TargetState, hash_key,
+};
+use rosethread_types::{ClassName, MemberName, TargetName};
+
+/// Returns the key of a member in tests and examples.
+pub fn key_of(member: &str) -> String {
+    format!("key-of-{member}")
+}
+
+/// Builds a document step by step.
+#[derive(Clone, Debug, Default)]
+pub struct DocumentBuilder {
+    document: Document,
+}
+
+impl DocumentBuilder {
+    /// Returns a builder of an empty document.
+    pub fn new() -> DocumentBuilder {
+        DocumentBuilder::default()
+    }
+
+    /// Sets the policy.
+    #[must_use]
+    pub fn policy(mut self, policy: PolicyName) -> DocumentBuilder {
+        self.document.policy = policy;
+        self
+    }
+
+    /// Adds a member with the weight `share`.
+    #[must_use]
+    pub fn member(mut self, name: &str, share: u32) -> DocumentBuilder {
+        self.document.members.push(Member {
+            name: valid::<MemberName>(name),
+            keys: vec![hash_key(&key_of(name))],
+            share,
+            rate: 10_000,
+            concurrency: 10_000,
+            minute_tokens: 1_000_000_000,
+        });
+        self
+    }
+
+    /// Adds a class, which `adjust` may change.
+    #[must_use]
+    pub fn class(mut self, name: &str, adjust: impl FnOnce(&mut Class)) -> DocumentBuilder {
+        let mut class = Class {
+            name: valid::<ClassName>(name),
+            priority: 0,
+            deadline_ms: 60_000,
+            tokens: 20_000,
+            calls: 200,
+            wall_s: 3_600,
+            block: 2_000,
+            max_tokens: 256,
+            history: HistoryRule::Journal,
+            retries: 3,
+            reserved: false,
+            latency_weight: 1.0,
+            waste_weight: 0.1,
+        };
+        adjust(&mut class);
+        self.document.classes.push(class);
+        self
+    }
+
+    /// Adds a model engine.
+    #[must_use]
+    pub fn engine(
+        self,
+        name: &str,
+        zone: &str,
+        address: SocketAddr,
+        spec: EngineSpec,
+    ) -> DocumentBuilder {
+        self.target(name, zone, address, TargetKind::Engine(spec))
+    }
+
+    /// Adds a plain service.
+    #[must_use]
+    pub fn service(
+        self,
+        name: &str,
+        zone: &str,
+        address: SocketAddr,
+        service: &str,
+        slots: u32,
+    ) -> DocumentBuilder {
+        let spec = ServiceSpec { service: valid(service), slots, timeout_ms: 5_000 };
+        self.target(name, zone, address, TargetKind::Service(spec))
+    }
+
+    fn target(
+        mut self,
+        name: &str,
+        zone: &str,
+        address: SocketAddr,
+        kind: TargetKind,
+    ) -> DocumentBuilder {
+        self.document.targets.push(Target {
+            name: valid::<TargetName>(name),
+            address,
+            zone: valid(zone),
+            kind,
+            members: Vec::new(),
+            state: TargetState::Active,
+        });
+        self
+    }
+
+    /// Returns the document.
+    pub fn build(self) -> Document {
+        self.document
+    }
+}
+
+/// Parses a name that the program itself wrote.
+pub(crate) fn valid<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("names in tests are valid")
+}
--- /dev/null
+++ b/crates/rosethread_testbed/src/lib.rs
@@ -0,0 +1,19 @@
+//! Whole deployments for tests, examples and measurements.
+//!
+//! [`Deployment`] runs real nodes over loopback sockets against the stand-ins of
+//! `rosethread_fakes`, and [`Caller`] talks to them as a customer's program would. This crate is
+//! never published.
+
+mod caller;
+mod deployment;
+mod document;
+
+mod scenario;
+mod stats;
+
+pub use caller::{CallError, CallResult, Caller, CallerProgram};
+pub use deployment::{Deployment, DeploymentSpec, free_address, quiet_logger, terminal_logger};
+pub use document::{DocumentBuilder, key_of};
+
+pub use scenario::{Deploy, Scale, consortium, trailerwerk};
+pub use stats::{Latency, Summary};
--- /dev/null
+++ b/crates/rosethread_testbed/src/memory.rs
@@ -0,0 +1,1 @@
+//! Several nodes in one process on a paused clock, over in-memory fakes.
--- /dev/null
+++ b/crates/rosethread_types/src/id.rs
@@ -0,0 +1,154 @@
+//! Identifiers of programs, requests, attempts and process incarnations.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{MemberName, NameError};
+
+/// The identifier of a program.
+///
+/// The member is part of the identifier, so that a request under another member's key is refused
+/// before any state is looked up. The partition selects the journal stream that orders the
+/// program's records.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ProgramId {
+    /// The member on whose behalf the program runs.
+    pub member: MemberName,
+    /// The journal partition that holds the program's records.
+    pub partition: u16,
+    /// 128 random bits, chosen by the node that created the program.
+    pub random: u128,
+}
+
+impl fmt::Display for ProgramId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{:032x}", self.member, self.partition, self.random)
+    }
+}
+
+impl fmt::Debug for ProgramId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for ProgramId {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<ProgramId, NameError> {
+        let mut parts = text.split('.');
+        let (Some(member), Some(partition), Some(random), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(NameError::BadCharacter);
+        };
+        Ok(ProgramId {
+            member: member.parse()?,
+            partition: partition.parse().map_err(|_| NameError::BadCharacter)?,
+            random: u128::from_str_radix(random, 16).map_err(|_| NameError::BadCharacter)?,
+        })
+    }
+}
+
+impl TryFrom<String> for ProgramId {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<ProgramId, NameError> {
+        text.parse()
+    }
+}
+
+impl From<ProgramId> for String {
+    fn from(id: ProgramId) -> String {
+        id.to_string()
+    }
+}
+
+/// The caller's identifier of one call, unique within its program.
+///
+/// Retries of a call carry the same identifier, which is what makes them idempotent.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestId(std::sync::Arc<str>);
+
+/// The longest accepted request identifier, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 64;
+
+impl RequestId {
+    /// Returns the identifier as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<RequestId, NameError> {
+        if text.is_empty() {
+            return Err(NameError::Empty);
+        }
+        if MAX_REQUEST_ID_BYTES < text.len() {
+            return Err(NameError::TooLong);
+        }
+        if !text.bytes().all(|it| it.is_ascii_graphic()) {
+            return Err(NameError::BadCharacter);
+        }
+        Ok(RequestId(text.into()))
+    }
+}
+
+impl TryFrom<String> for RequestId {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<RequestId, NameError> {
+        text.parse()
+    }
+}
+
+impl From<RequestId> for String {
+    fn from(id: RequestId) -> String {
+        id.0.as_ref().to_owned()
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// The identifier of one attempt at a target.
+///
+/// Each retry at a target has a fresh identifier, so that a late answer can reach only the
+/// attempt it belongs to.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AttemptId(pub u128);
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// The start time of a node process, in milliseconds since the Unix epoch.
+///
+/// It tells one run of a node from the next at the same address; the larger one is the newer.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Incarnation(pub u64);
