Whole-system fuzz on a paused clock, and what it found

Cause: the thin path had no proof beyond the demo.

Change: rosethread_testbed::memory runs four nodes, three engines, two services, the log and a lossy network in one paused runtime; callers keep their own transcript, retry, send copies and lose answers; 20 kinds of faults come alone or in pairs. After each run a plain oracle checks what callers saw against what the stand-ins executed.

--- /dev/null
+++ b/crates/rosethread_cases/src/lib.rs
@@ -0,0 +1,28 @@
+//! A macro that turns a list of named cases into tests.
+//!
+//! One function checks, and each case is a test with a name of its own, so that a failure says
+//! which case it was. All other crates use it in their tests only.
+
+/// Declares one test for each named case; every case calls the given function with its arguments.
+///
+/// ```
+/// fn check_sum(left: u32, right: u32, sum: u32) {
+///     assert_eq!(left + right, sum);
+/// }
+///
+/// rosethread_cases::cases!(check_sum {
+///     zero: (0, 0, 0);
+///     small: (1, 2, 3);
+/// });
+/// ```
+#[macro_export]
+macro_rules! cases {
+    ($check:path { $($name:ident: ($($argument:expr),* $(,)?);)* }) => {
+        $(
+            #[test]
+            fn $name() {
+                $check($($argument),*);
+            }
+        )*
+    };
+}
--- a/crates/rosethread_fakes/src/engine.rs
+++ b/crates/rosethread_fakes/src/engine.rs
@@ -116,6 +116,8 @@
     records: Vec<GenerationRecord>,
     report: (Instant, EngineLoad),
     fence: Epoch,
+    /// The newest fencing number of each program.
+    fences: BTreeMap<ProgramId, Epoch>,
     orders: Vec<(Epoch, Order)>,
     exported: BTreeMap<ProgramId, Vec<u8>>,
 }
@@ -141,6 +143,7 @@
                 records: Vec::new(),
                 report: (Instant::now(), EngineLoad::default()),
                 fence: Epoch::UNCLAIMED,
+                fences: BTreeMap::new(),
                 orders: Vec::new(),
                 exported: BTreeMap::new(),
             }),
@@ -159,6 +162,16 @@
         self.state().faults = faults;
     }
 
+    /// Returns how the engine misbehaves.
+    pub fn faults(&self) -> EngineFaults {
+        self.state().faults
+    }
+
+    /// Returns how often a prompt with this digest was taken on.
+    pub fn executions(&self, prompt: rosethread_types::Digest) -> usize {
+        self.state().records.iter().filter(|it| it.prompt == prompt).count()
+    }
+
     /// Returns all generations taken on so far.
     pub fn records(&self) -> Vec<GenerationRecord> {
         self.state().records.clone()
@@ -184,6 +197,11 @@
         if state.faults.down {
             return Err(TargetError::Unreachable("the engine is down".to_owned()));
         }
+        let fence = state.fences.entry(request.program.clone()).or_default();
+        if self.config.fencing && request.epoch < *fence {
+            return Err(TargetError::Refused("the fencing number is old".to_owned()));
+        }
+        *fence = request.epoch.max(*fence);
         if self.config.queue <= state.waiting.len() {
             return Err(TargetError::Refused("the engine's queue is full".to_owned()));
         }
--- a/crates/rosethread_fakes/src/service.rs
+++ b/crates/rosethread_fakes/src/service.rs
@@ -56,6 +56,16 @@
         self.state().faults = faults;
     }
 
+    /// Returns how the service misbehaves.
+    pub fn faults(&self) -> ServiceFaults {
+        self.state().faults
+    }
+
+    /// Returns how often a request with this body was executed.
+    pub fn executions(&self, body: &str) -> usize {
+        self.state().runs.iter().filter(|it| it.body == body).count()
+    }
+
     /// Returns everything executed so far.
     pub fn runs(&self) -> Vec<ServiceRun> {
         self.state().runs.clone()
--- a/crates/rosethread_journal/src/fold.rs
+++ b/crates/rosethread_journal/src/fold.rs
@@ -32,8 +32,12 @@
     pub positions: Vec<Position>,
     /// The writer's time of the oldest of these records, in milliseconds since the Unix epoch.
     pub oldest_ms: u64,
+    /// The writer's time of the newest of these records, in milliseconds since the Unix epoch.
+    pub newest_ms: u64,
     /// Whether the program has ended.
     pub closed: bool,
+    /// Whether all engine memory of the ended program has been released.
+    pub released: bool,
     /// The end of the program's wall time, in milliseconds since the Unix epoch.
     pub expires_ms: u64,
 }
@@ -104,6 +108,7 @@
                 entry.owner = batch.node.clone();
                 entry.epoch = epoch;
                 entry.positions.push(position);
+                entry.newest_ms = batch.written_ms;
                 entry.expires_ms = expires_ms;
                 Verdict::Counted(epoch)
             }
@@ -113,7 +118,9 @@
                     epoch,
                     positions: vec![position],
                     oldest_ms: batch.written_ms,
+                    newest_ms: batch.written_ms,
                     closed: false,
+                    released: false,
                     expires_ms,
                 };
                 self.programs.insert(program.clone(), entry);
@@ -136,7 +143,9 @@
             epoch,
             positions: Vec::new(),
             oldest_ms: batch.written_ms,
+            newest_ms: batch.written_ms,
             closed: false,
+            released: false,
             expires_ms: u64::MAX,
         });
         // A reader that starts after the claim has expired learns of it from the checkpoint.
@@ -155,8 +164,10 @@
                 entry.closed = *ended;
             }
             Event::Closed => entry.closed = true,
+            Event::Released => entry.released = true,
             _ => (),
         }
+        entry.newest_ms = batch.written_ms;
         entry.positions.push(position);
         Verdict::Counted(epoch)
     }
--- a/crates/rosethread_journal/src/journal.rs
+++ b/crates/rosethread_journal/src/journal.rs
@@ -5,6 +5,7 @@
 mod recover;
 
 use std::{
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -15,7 +16,10 @@
 use displaydoc::Display;
 use rosethread_platform::{Clock, LogService};
 use rosethread_types::{Incarnation, NodeName, StreamName};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::{
+    sync::{Notify, mpsc, oneshot, watch},
+    time::Instant,
+};
 
 use crate::{Fold, Record, Verdict};
 
@@ -56,7 +60,7 @@
             incarnation,
             window: Duration::from_millis(25),
             retry: Duration::from_millis(100),
-            poll: Duration::from_secs(1),
+            poll: Duration::from_millis(500),
             batch_bytes: 256 << 10,
             queue_bytes: 16 << 20,
             clock,
@@ -145,6 +149,11 @@
     /// The offset up to which the stream has been read, once the first pass is complete.
     caught_up: watch::Sender<bool>,
     is_up: AtomicBool,
+    /// When the last read of the log succeeded.
+    last_read: Mutex<Option<Instant>>,
+    has_read: Notify,
+    /// The offset up to which the stream has been folded.
+    next: AtomicU64,
     queued: AtomicUsize,
     counters: Counters,
 }
@@ -191,6 +200,9 @@
             returned: watch::Sender::new(0),
             caught_up: watch::Sender::new(false),
             is_up: AtomicBool::new(false),
+            last_read: Mutex::default(),
+            has_read: Notify::new(),
+            next: AtomicU64::new(0),
             queued: AtomicUsize::new(0),
             counters: Counters::default(),
         });
@@ -230,6 +242,41 @@
         *self.shared.caught_up.borrow()
     }
 
+    /// Waits until the log has been read within the last `age`, unless it is unavailable.
+    ///
+    /// A process that was paused finds out here that the log may have moved on, before it acts on
+    /// what it read earlier.
+    pub async fn ensure_fresh(&self, age: Duration) {
+        let is_fresh = || {
+            let last_read = *self.shared.last_read();
+            !self.is_up() || last_read.is_some_and(|it| it.elapsed() < age)
+        };
+        loop {
+            let mut has_read = pin!(self.shared.has_read.notified());
+            has_read.as_mut().enable();
+            if is_fresh() {
+                return;
+            }
+            has_read.await;
+        }
+    }
+
+    /// Waits until everything that is in the log now has been folded.
+    pub async fn sync(&self) -> Result<(), JournalError> {
+        let config = &self.shared.config;
+        // A read far beyond the end returns the end and no records.
+        let read = self.shared.log.read(&config.stream, u64::MAX, 1, Duration::ZERO).await;
+        let end = read.map_err(|_| JournalError::Unavailable)?.end;
+        loop {
+            let mut has_read = pin!(self.shared.has_read.notified());
+            has_read.as_mut().enable();
+            if end <= self.shared.next.load(Ordering::Acquire) {
+                return Ok(());
+            }
+            has_read.await;
+        }
+    }
+
     /// Returns the number of bytes that wait for the log.
     pub fn queued_bytes(&self) -> usize {
         self.shared.queued.load(Ordering::Relaxed)
@@ -260,6 +307,10 @@
         self.fold.lock().expect("no holder of the fold panics")
     }
 
+    fn last_read(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.last_read.lock().expect("no holder of the time panics")
+    }
+
     fn flight(&self) -> MutexGuard<'_, Flight> {
         self.flight.lock().expect("no holder of the flight panics")
     }
--- a/crates/rosethread_journal/src/journal/reader.rs
+++ b/crates/rosethread_journal/src/journal/reader.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use rosethread_platform::{LogEntry, LogRead};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::{
     Batch, Fold, Verdict,
@@ -18,17 +18,27 @@
     let config = &shared.config;
     let mut next = 0;
     loop {
+        // What a read returns is as old as its start: it may have lain in a buffer for long.
+        let started = Instant::now();
         let read = shared.log.read(&config.stream, next, READ_BATCHES, config.poll).await;
         shared.is_up.store(read.is_ok(), Ordering::Relaxed);
         match read {
-            Ok(read) => next = take(&shared, next, read),
-            Err(_) => sleep(config.retry).await,
+            Ok(read) => {
+                next = take(&shared, next, &read);
+                shared.next.store(next, Ordering::Release);
+                *shared.last_read() = Some(started);
+                shared.has_read.notify_waiters();
+            }
+            Err(_) => {
+                shared.has_read.notify_waiters();
+                sleep(config.retry).await;
+            }
         }
     }
 }
 
 /// Folds what was read and returns the offset to go on from.
-fn take(shared: &Shared, next: u64, read: LogRead) -> u64 {
+fn take(shared: &Shared, next: u64, read: &LogRead) -> u64 {
     let has_gap = next < read.first;
     if has_gap && *shared.caught_up.borrow() {
         // What expired unread may have held claims, so nothing known before can be relied on.
--- a/crates/rosethread_node/src/feed.rs
+++ b/crates/rosethread_node/src/feed.rs
@@ -7,9 +7,12 @@
 
 use displaydoc::Display;
 use rosethread_types::Refusal;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
-use crate::call::{Answer, CallEvent};
+use crate::{
+    call::{Answer, CallEvent},
+    signal::Signal,
+};
 
 /// A restarted answer differs from what callers have already received.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -61,34 +64,34 @@
 struct State {
     splice: Splice,
     result: Option<Result<Answer, Refusal>>,
+    readers: usize,
 }
 
 /// The answer to one running call.
+#[derive(Default)]
 pub struct Feed {
     state: Mutex<State>,
-    /// Rises with each change; its receivers are the readers.
-    version: watch::Sender<u64>,
+    /// Raised with each change of the answer.
+    changed: Signal,
+    /// Raised when the last reader leaves.
+    left: Signal,
 }
 
 impl Feed {
     /// Returns an empty feed.
     pub fn new() -> Arc<Feed> {
-        Arc::new(Feed { state: Mutex::default(), version: watch::Sender::new(0) })
+        Arc::default()
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of the feed panics")
     }
 
-    fn changed(&self) {
-        self.version.send_modify(|it| *it += 1);
-    }
-
     /// Adds text from the current attempt.
     pub fn push(&self, part: &str) -> Result<(), Diverged> {
         let fresh = self.state().splice.push(part)?;
         if !fresh.is_empty() {
-            self.changed();
+            self.changed.raise();
         }
         Ok(())
     }
@@ -106,31 +109,35 @@
     /// Ends the feed.
     pub fn finish(&self, result: Result<Answer, Refusal>) {
         self.state().result = Some(result);
-        self.changed();
+        self.changed.raise();
     }
 
     /// Waits until nobody reads the feed any more.
     pub async fn abandoned(&self) {
-        self.version.closed().await;
+        loop {
+            let left = self.left.listen();
+            if self.is_abandoned() {
+                return;
+            }
+            left.await;
+        }
     }
 
     /// Tells whether nobody reads the feed at present.
     pub fn is_abandoned(&self) -> bool {
-        self.version.is_closed()
+        self.state().readers == 0
     }
 
     /// Returns a reader that starts at the beginning of the answer.
     pub fn subscribe(self: &Arc<Feed>) -> FeedReader {
-        let mut changes = self.version.subscribe();
-        changes.mark_changed();
-        FeedReader { feed: self.clone(), changes, position: 0, is_over: false }
+        self.state().readers += 1;
+        FeedReader { feed: self.clone(), position: 0, is_over: false }
     }
 }
 
 /// A reader of a feed.
 pub struct FeedReader {
     feed: Arc<Feed>,
-    changes: watch::Receiver<u64>,
     position: usize,
     is_over: bool,
 }
@@ -139,18 +146,17 @@
     /// Waits for the next event; returns nothing after the last.
     pub async fn next(&mut self) -> Option<CallEvent> {
         while !self.is_over {
+            let feed = self.feed.clone();
+            let changed = feed.changed.listen();
             if let Some(event) = self.take() {
                 return Some(event);
             }
-            if self.changes.changed().await.is_err() {
-                return None;
-            }
+            changed.await;
         }
         None
     }
 
     fn take(&mut self) -> Option<CallEvent> {
-        self.changes.mark_unchanged();
         let state = self.feed.state();
         let text = state.splice.text();
         if self.position < text.len() {
@@ -167,6 +173,19 @@
     }
 }
 
+impl Drop for FeedReader {
+    fn drop(&mut self) {
+        let is_last = {
+            let mut state = self.feed.state();
+            state.readers -= 1;
+            state.readers == 0
+        };
+        if is_last {
+            self.feed.left.raise();
+        }
+    }
+}
+
 /// The stream of a call's events, from this node or another.
 pub enum CallStream {
     /// From a call that runs here.
--- a/crates/rosethread_node/src/lib.rs
+++ b/crates/rosethread_node/src/lib.rs
@@ -20,6 +20,7 @@
 mod process;
 mod random;
 mod route;
+mod signal;
 mod tasks;
 mod timer;
 
--- a/crates/rosethread_node/src/owner.rs
+++ b/crates/rosethread_node/src/owner.rs
@@ -12,7 +12,7 @@
 mod takeover;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard},
 };
 
@@ -20,9 +20,9 @@
 use rosethread_policy::Strategy;
 use rosethread_program::{Continuation, Event, Program};
 use rosethread_types::{Epoch, ProgramId, RequestId, TargetName, Tokens};
-use tokio::{sync::watch, time::Instant};
+use tokio::time::Instant;
 
-use crate::{call::ProgramStatus, core::Core, feed::Feed};
+use crate::{call::ProgramStatus, core::Core, feed::Feed, signal::Signal};
 
 pub(crate) use close::{close, status};
 pub(crate) use create::create;
@@ -35,8 +35,8 @@
 pub(crate) struct Owned {
     pub(crate) id: ProgramId,
     state: Mutex<OwnedState>,
-    /// Rises whenever a call finishes or the ownership changes.
-    changed: watch::Sender<u64>,
+    /// Raised whenever a call finishes or the ownership changes.
+    changed: Signal,
 }
 
 /// How sure this node is of its ownership.
@@ -61,7 +61,9 @@
     /// The target that most likely caches the history, and how much of it.
     pub(crate) cached: Option<(TargetName, Tokens)>,
     /// Engines that may hold something for the program.
-    touched: std::collections::BTreeSet<TargetName>,
+    touched: BTreeSet<TargetName>,
+    /// Whether the journal says that the ended program holds nothing.
+    is_released: bool,
     last_used: Instant,
     /// Whether a handover is under way, during which no call starts.
     frozen: bool,
@@ -77,12 +79,13 @@
             unsent: Vec::new(),
             feeds: BTreeMap::new(),
             cached: None,
-            touched: std::collections::BTreeSet::new(),
+            touched: BTreeSet::new(),
+            is_released: false,
             last_used: Instant::now(),
             frozen: false,
             children: BTreeMap::new(),
         };
-        Arc::new(Owned { id, state: Mutex::new(state), changed: watch::Sender::new(0) })
+        Arc::new(Owned { id, state: Mutex::new(state), changed: Signal::default() })
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, OwnedState> {
@@ -90,7 +93,7 @@
     }
 
     fn notify(&self) {
-        self.changed.send_modify(|it| *it += 1);
+        self.changed.raise();
     }
 
     /// Takes note that this node no longer owns the program.
--- a/crates/rosethread_node/src/owner/close.rs
+++ b/crates/rosethread_node/src/owner/close.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use rosethread_config::Document;
 use rosethread_platform::CacheHold;
+use rosethread_program::Event;
 use rosethread_types::{MemberName, ProgramId, Reason, Refusal};
 
 use crate::{
@@ -25,7 +25,8 @@
         (event, parent, state.program.account.spent, children)
     };
     journalling::record_detached(core, owned, event);
-    release_all(core, owned);
+    let (releasing, of) = (core.clone(), owned.clone());
+    core.tasks.spawn(async move { release_all(&releasing, &of).await });
     for child in children {
         if let Some(child) = core.owned(&child) {
             close(core, &child);
@@ -49,15 +50,35 @@
     }
 }
 
-/// Drops the program's cache and streams at every engine it touched.
-pub(super) fn release_all(core: &Arc<Core>, owned: &Owned) {
+/// Drops the ended program's cache and streams at every engine it touched.
+///
+/// An engine that cannot be reached stays on the list for the next sweep. Once the list is empty
+/// the journal says so, so that a successor does not have to ask every engine again.
+pub(super) async fn release_all(core: &Arc<Core>, owned: &Arc<Owned>) {
     let in_force = core.document.borrow().clone();
-    let touched = std::mem::take(&mut owned.lock().touched);
+    let touched = owned.lock().touched.clone();
     for name in touched {
-        if let Some(target) = Document::target(&in_force.document, &name) {
-            send::release_detached(core, &owned.id, target, CacheHold::Drop);
+        let is_released = match in_force.document.target(&name) {
+            Some(target) => {
+                let address = send::address(target);
+                core.targets.release(&address, &owned.id, CacheHold::Drop).await.is_ok()
+            }
+            // A target that the document no longer has is not ours to care for.
+            None => true,
+        };
+        if is_released {
+            owned.lock().touched.remove(&name);
         }
     }
+    let is_done = {
+        let mut state = owned.lock();
+        let is_done = state.touched.is_empty() && !state.program.is_running() && !state.is_released;
+        state.is_released |= is_done;
+        is_done
+    };
+    if is_done {
+        journalling::record_detached(core, owned, Event::Released);
+    }
 }
 
 /// Returns the status of a program that this node owns.
--- a/crates/rosethread_node/src/owner/handover.rs
+++ b/crates/rosethread_node/src/owner/handover.rs
@@ -64,7 +64,8 @@
     }
     state.frozen = true;
     let target = state.cached.as_ref().map(|(target, _)| target.clone());
-    Some(Handover { epoch, checkpoint: state.program.checkpoint(), target })
+    let touched = state.touched.iter().cloned().collect();
+    Some(Handover { epoch, checkpoint: state.program.checkpoint(), target, touched })
 }
 
 /// Returns whether the successor took the program, or nothing if it did not say.
@@ -89,10 +90,10 @@
 /// one wins.
 pub(crate) async fn adopt(core: &Arc<Core>, handover: Handover) -> Result<(), Refusal> {
     let refuse = |detail: &str| Refusal::not_run(Reason::NotOwner, detail);
-    let Event::Checkpoint { grant, spent, limit, ended, .. } = &handover.checkpoint else {
+    let Event::Checkpoint { grant, spent, limit, .. } = &handover.checkpoint else {
         return Err(refuse("a handover carries a checkpoint"));
     };
-    let (grant, spent, limit, ended) = (grant.clone(), *spent, *limit, *ended);
+    let (grant, spent, limit) = (grant.clone(), *spent, *limit);
     let id = grant.program.clone();
     let lock = core.takeover_lock(&id);
     let _guard = lock.lock().await;
@@ -115,13 +116,9 @@
         let mut state = owned.lock();
         let tokens = state.program.history.prompt_tokens();
         state.cached = handover.target.map(|it| (it, tokens));
-        if let Some((target, _)) = state.cached.clone() {
-            state.touched.insert(target);
-        }
+        state.touched = handover.touched.into_iter().collect();
     }
     core.insert_owned(owned.clone());
-    if !ended {
-        journalling::record_detached(core, &owned, handover.checkpoint);
-    }
+    journalling::record_detached(core, &owned, handover.checkpoint);
     Ok(())
 }
--- a/crates/rosethread_node/src/owner/journalling.rs
+++ b/crates/rosethread_node/src/owner/journalling.rs
@@ -65,11 +65,12 @@
 
 /// Waits until the first claim has been read back.
 async fn wait_for_tenure(owned: &Owned) {
-    let mut changed = owned.changed.subscribe();
-    while owned.lock().tenure == Tenure::Pending {
-        if changed.changed().await.is_err() {
+    loop {
+        let changed = owned.changed.listen();
+        if owned.lock().tenure != Tenure::Pending {
             return;
         }
+        changed.await;
     }
 }
 
--- a/crates/rosethread_node/src/owner/run.rs
+++ b/crates/rosethread_node/src/owner/run.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rosethread_config::{Class, HistoryRule};
+use rosethread_config::{Class, HistoryRule, TargetState};
 use rosethread_platform::Ran;
 use rosethread_policy::judge;
 use rosethread_policy::{
@@ -34,6 +34,12 @@
 /// The pressure from which an engine is told to keep a program's cache.
 const HOLD_PRESSURE: f64 = 0.5;
 
+/// How old the last read of the log may be when a call is sent to a target.
+///
+/// It is shorter than the time in which a silent node is declared dead, so a node that wakes from
+/// a long pause reads the claims made meanwhile before it sends anything.
+const FRESHNESS: Duration = Duration::from_millis(1_500);
+
 /// The pause expected between two calls before anything is known, in seconds.
 const EXPECTED_PAUSE_S: f64 = 5.0;
 
@@ -101,8 +107,9 @@
     let mut cost = 0;
     for attempt in 0.. {
         let may_have_run = attempt != 0;
-        let slot = take_slot(core, owned, bounded, &class, deadline, feed).await;
+        let slot = take_active_slot(core, owned, bounded, &class, deadline, feed).await;
         let (chosen, held) = slot.map_err(|it| Loss { refusal: weaken(it, may_have_run), cost })?;
+        core.journal.ensure_fresh(FRESHNESS).await;
         if !journalling::is_owner(core, owned) {
             let refusal = Refusal::not_run(Reason::NotOwner, "another node owns the program");
             return Err(Loss { refusal: weaken(refusal, may_have_run), cost });
@@ -146,6 +153,25 @@
     }
 }
 
+/// Takes slots until one belongs to a target that is still in service.
+async fn take_active_slot(
+    core: &Arc<Core>,
+    owned: &Arc<Owned>,
+    bounded: &Bounded,
+    class: &Class,
+    deadline: Instant,
+    feed: &Arc<Feed>,
+) -> Result<(Chosen, Held), Refusal> {
+    loop {
+        let (chosen, held) = take_slot(core, owned, bounded, class, deadline, feed).await?;
+        let in_force = core.document()?;
+        let target = in_force.document.target(&chosen.target.name);
+        if target.is_some_and(|it| it.state == TargetState::Active) {
+            return Ok((chosen, held));
+        }
+    }
+}
+
 /// Chooses a target and waits for one of its slots.
 async fn take_slot(
     core: &Arc<Core>,
@@ -190,7 +216,9 @@
 }
 
 fn choose(core: &Core, owned: &Owned, bounded: &Bounded, class: &Class) -> Result<Chosen, Refusal> {
-    let document = &bounded.in_force.document;
+    // The document in force now, since the call may have waited through a change.
+    let in_force = core.document()?;
+    let document = &in_force.document;
     let (model, cached, history) = {
         let state = owned.lock();
         let history = state.program.history.prompt_tokens();
@@ -266,6 +294,11 @@
             let detail = "another node took the program over during the call";
             Err(Refusal::unknown(Reason::NotOwner, detail))
         }
+        Ok(_) if !owned.lock().program.is_current(&bounded.head.request) => {
+            owned.lock().feeds.remove(&bounded.head.request);
+            let detail = "the caller supplied this turn while it was running";
+            Err(Refusal::unknown(Reason::Cancelled, detail))
+        }
         Ok(finished) => Ok(settle_answer(core, owned, bounded, finished)),
         Err(loss) => {
             settle_loss(core, owned, bounded, loss.refusal.outcome, loss.cost);
--- a/crates/rosethread_node/src/owner/serve.rs
+++ b/crates/rosethread_node/src/owner/serve.rs
@@ -4,8 +4,8 @@
 
 use rosethread_config::InForce;
 use rosethread_program::{Admission, CallHead, Event, Exchange};
-use rosethread_types::{Reason, Refusal, Tokens};
-use tokio::time::{Instant, timeout_at};
+use rosethread_types::{Outcome, Reason, Refusal, Tokens};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     call::{Answer, Call, CallEvent, Work},
@@ -17,6 +17,9 @@
 /// Tokens that a chat template adds to each message at most.
 const TEMPLATE_TOKENS: Tokens = 8;
 
+/// How long a refusal waits for the log to confirm the ownership.
+const SYNC_TIME: Duration = Duration::from_millis(300);
+
 /// When a caller should ask again while the log is unavailable.
 const LOG_RETRY: Duration = Duration::from_secs(1);
 
@@ -40,10 +43,39 @@
 
 /// Serves a call of a program that this node owns.
 pub(crate) async fn serve(core: &Arc<Core>, owned: &Arc<Owned>, call: Call) -> Served {
+    let bare = bare_head(&call);
     match admit(core, owned, call).await {
         Ok(served) => served,
-        Err(refusal) => Served::Stream(CallStream::of(vec![CallEvent::Refused(refusal)])),
+        Err(refusal) => {
+            let refusal = owned.lock().program.qualify(&bare, refusal);
+            refuse(core, owned, bare.retry, refusal).await
+        }
+    }
+}
+
+/// Refuses a call, after making sure that this node may speak for the program.
+///
+/// Another copy of a retried call may be running at a successor that this node has not heard of,
+/// and then "not run" would not be true.
+async fn refuse(core: &Arc<Core>, owned: &Arc<Owned>, retry: bool, refusal: Refusal) -> Served {
+    let mut refusal = refusal;
+    if retry && refusal.outcome == Outcome::NotRun {
+        let is_synced = timeout(SYNC_TIME, core.journal.sync()).await;
+        if !matches!(is_synced, Ok(Ok(()))) {
+            refusal.outcome = Outcome::Unknown;
+        } else if !journalling::is_owner(core, owned) {
+            owned.lose(core);
+            return Served::Lost;
+        }
     }
+    Served::Stream(CallStream::of(vec![CallEvent::Refused(refusal)]))
+}
+
+/// Returns the head of a call whose content and cost do not matter.
+fn bare_head(call: &Call) -> CallHead {
+    CallHead::new(call.request.clone(), call.turn, call.work.is_prompted(), "", 0)
+        .repeatable(call.repeatable)
+        .retry(call.retry)
 }
 
 async fn admit(core: &Arc<Core>, owned: &Arc<Owned>, call: Call) -> Result<Served, Refusal> {
@@ -54,8 +86,8 @@
     let arrived = Instant::now();
     let early = arrived + Duration::from_millis(core.settings.limits.early_ms);
     let deadline = arrived + time_left(core, &bounded.call);
-    let mut changed = owned.changed.subscribe();
     loop {
+        let changed = owned.changed.listen();
         if !journalling::is_owner(core, owned) {
             owned.lose(core);
             return Ok(Served::Lost);
@@ -65,7 +97,7 @@
             Step::Frozen => {
                 let reason = Reason::NotOwner;
                 let detail = "the program is being handed over";
-                wait(&mut changed, deadline, reason, detail).await?;
+                wait(changed, deadline, reason, detail).await?;
             }
             Step::Admission(Admission::Start) => return Ok(start(core, owned, bounded)),
             Step::Admission(Admission::Join) => return Ok(join(owned, &head)),
@@ -74,13 +106,12 @@
             }
             Step::Admission(Admission::Wait) => {
                 let detail = "an earlier turn has not finished";
-                let refusal = wait(&mut changed, early.min(deadline), Reason::EarlyTurn, detail);
-                refusal.await.map_err(|it| owned.lock().program.qualify(&head, it))?;
+                let refusal = wait(changed, early.min(deadline), Reason::EarlyTurn, detail);
+                refusal.await?;
             }
             Step::Admission(Admission::Grow(limit)) => {
                 let growing = timeout_at(deadline, grow(core, owned, limit)).await;
-                let growing = growing.unwrap_or_else(|_| Err(not_journalled()));
-                growing.map_err(|it| owned.lock().program.qualify(&head, it))?;
+                growing.unwrap_or_else(|_| Err(not_journalled()))?;
             }
             Step::Admission(Admission::Refuse(refusal)) => return Err(refusal),
         }
@@ -107,13 +138,13 @@
 
 /// Waits until the program changes, or refuses at `until`.
 async fn wait(
-    changed: &mut tokio::sync::watch::Receiver<u64>,
+    changed: impl Future<Output = ()>,
     until: Instant,
     reason: Reason,
     detail: &str,
 ) -> Result<(), Refusal> {
-    match timeout_at(until, changed.changed()).await {
-        Ok(_) => Ok(()),
+    match timeout_at(until, changed).await {
+        Ok(()) => Ok(()),
         Err(_) => Err(Refusal::not_run(reason, detail).retry_after(Duration::from_millis(200))),
     }
 }
--- a/crates/rosethread_node/src/owner/sweep.rs
+++ b/crates/rosethread_node/src/owner/sweep.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rosethread_membership::responsible;
-use rosethread_types::ProgramId;
+use rosethread_membership::{View, responsible};
+use rosethread_types::{NodeName, ProgramId};
 use tokio::time::Instant;
 
 use crate::{
@@ -25,14 +25,14 @@
 pub(crate) async fn sweep(core: &Arc<Core>) {
     let now_ms = core.clock.now_ms();
     for owned in core.all_owned() {
-        sweep_program(core, &owned, now_ms);
+        sweep_program(core, &owned, now_ms).await;
     }
     sweep_leases(core);
     core.journal.fold().forget_expired(now_ms);
     adopt_orphans(core, now_ms).await;
 }
 
-fn sweep_program(core: &Arc<Core>, owned: &Arc<Owned>, now_ms: u64) {
+async fn sweep_program(core: &Arc<Core>, owned: &Arc<Owned>, now_ms: u64) {
     if !journalling::is_owner(core, owned) {
         owned.lose(core);
         return;
@@ -49,7 +49,7 @@
     }
     if ended && !is_running {
         // Streams that were running when the program was closed have ended by now.
-        close::release_all(core, owned);
+        close::release_all(core, owned).await;
     }
     rewrite_if_old(core, owned, now_ms);
     if ended && is_over && CLOSED_TIME <= idle {
@@ -71,28 +71,52 @@
 /// Takes over programs of dead nodes for which this node is responsible.
 ///
 /// Calls take programs over on demand; this is for programs whose callers have gone too, which
-/// would hold engine memory for ever, and for records that nobody else would rewrite.
+/// would hold engine memory for ever, and for records that nobody else would rewrite. Programs
+/// that ended, or whose callers have been silent for the idle time, are ended at once.
 async fn adopt_orphans(core: &Arc<Core>, now_ms: u64) {
+    for orphan in find_orphans(core, now_ms) {
+        let Ok(owned) = take_over(core, &orphan.program, None).await else {
+            continue;
+        };
+        if orphan.is_over {
+            close(core, &owned);
+        }
+    }
+}
+
+/// A program without an owner.
+struct Orphan {
+    program: ProgramId,
+    /// Whether it has ended, or its caller has been silent for the idle time.
+    is_over: bool,
+}
+
+fn find_orphans(core: &Core, now_ms: u64) -> Vec<Orphan> {
     let view = core.view();
     let grace_ms = core.settings.limits.idle_s * 1_000;
     let rewrite_ms = core.settings.log.retention_s * 1_000 / REWRITE_SHARE;
-    let orphans: Vec<ProgramId> = core
-        .journal
-        .fold()
-        .programs()
-        .filter(|(_, it)| !view.is_running(&it.owner))
-        .filter(|(_, it)| {
-            let age_ms = now_ms.saturating_sub(it.oldest_ms);
-            let is_abandoned = !it.closed && grace_ms <= age_ms;
-            is_abandoned || rewrite_ms <= age_ms
-        })
-        .map(|(program, _)| program.clone())
-        .filter(|it| responsible(&view, &it.to_string()).as_ref() == Some(core.me()))
-        .take(TAKEOVERS)
-        .collect();
-    for program in orphans {
-        if take_over(core, &program, None).await.is_err() {
-            return;
-        }
-    }
+    let fold = core.journal.fold();
+    let orphans = fold.programs().filter(|(program, entry)| {
+        let is_over = entry.closed || entry.newest_ms + grace_ms <= now_ms;
+        let holds_memory = is_over && !entry.released;
+        let is_old = entry.oldest_ms + rewrite_ms <= now_ms;
+        (holds_memory || is_old)
+            && is_orphan(core, &view, program, &entry.owner)
+            && is_responsible(core, &view, program, &entry.owner)
+    });
+    let orphans = orphans.map(|(program, entry)| Orphan {
+        program: program.clone(),
+        is_over: entry.closed || entry.newest_ms + grace_ms <= now_ms,
+    });
+    orphans.take(TAKEOVERS).collect()
+}
+
+/// Tells whether the claimed owner of a program is gone, or has restarted without it.
+fn is_orphan(core: &Core, view: &View, program: &ProgramId, owner: &NodeName) -> bool {
+    if owner == core.me() { core.owned(program).is_none() } else { !view.is_running(owner) }
+}
+
+/// Tells whether this node should adopt an orphan: it was the owner, or the hash chooses it.
+fn is_responsible(core: &Core, view: &View, program: &ProgramId, owner: &NodeName) -> bool {
+    owner == core.me() || responsible(view, &program.to_string()).as_ref() == Some(core.me())
 }
--- a/crates/rosethread_node/src/peers.rs
+++ b/crates/rosethread_node/src/peers.rs
@@ -90,6 +90,8 @@
     pub checkpoint: rosethread_program::Event,
     /// The target that caches the history.
     pub target: Option<TargetName>,
+    /// The engines that may hold something for the program.
+    pub touched: Vec<TargetName>,
 }
 
 /// The reply to a [`PeerRequest`].
--- a/crates/rosethread_node/src/route.rs
+++ b/crates/rosethread_node/src/route.rs
@@ -60,6 +60,7 @@
 
 /// Carries a call's events to the caller, routing again when an owner is lost.
 async fn relay(core: Arc<Core>, mut call: Call, sender: mpsc::Sender<CallEvent>) {
+    let _guard = core.count_call();
     let deadline = Instant::now() + owner_time_left(&core, &call);
     let mut splice = Splice::default();
     loop {
@@ -213,9 +214,16 @@
     let Some(known) = known else {
         return Err(Refusal::not_run(Reason::UnknownProgram, format!("no program {program}")));
     };
+    // A node that restarted is still the one that all others ask for its former programs.
+    if known == *core.me() {
+        return Ok(Route::TakeOver);
+    }
     let view = core.view();
-    let is_elsewhere = known != *core.me() && view.is_running(&known);
-    let node = if is_elsewhere { Some(known) } else { responsible(&view, &program.to_string()) };
+    let node = if view.is_running(&known) {
+        Some(known)
+    } else {
+        responsible(&view, &program.to_string())
+    };
     match node {
         Some(node) if node != *core.me() => there(&view, &node, hops),
         _ => Ok(Route::TakeOver),
--- a/crates/rosethread_program/src/event.rs
+++ b/crates/rosethread_program/src/event.rs
@@ -44,6 +44,8 @@
     },
     /// The program ended.
     Closed,
+    /// No engine holds anything for the ended program any more.
+    Released,
     /// The whole state, rewritten before retention takes the records it replaces.
     Checkpoint {
         /// What the program was given.
@@ -52,8 +54,10 @@
         spent: Tokens,
         /// The journalled limit.
         limit: Tokens,
-        /// The finished exchanges.
+        /// The finished exchanges that the owner has.
         history: History,
+        /// The turns that are known to have finished.
+        finished: Turn,
         /// Calls whose outcome is not known.
         unknown: Vec<RequestId>,
         /// Whether the program has ended.
--- a/crates/rosethread_program/src/history.rs
+++ b/crates/rosethread_program/src/history.rs
@@ -44,8 +44,8 @@
 pub enum HistoryError {
     /// the supplied turns do not lead to the continuation's digest
     DigestMismatch,
-    /// the continuation's turn lies outside the supplied history
-    TurnMismatch,
+    /// turns are missing before the supplied ones
+    Gap,
 }
 
 impl std::error::Error for HistoryError {}
@@ -96,16 +96,18 @@
 
     /// Appends exchanges that the caller supplied, if they lead to `digest` before `turn`.
     ///
-    /// Nothing is changed unless the whole supplement is genuine.
+    /// The supplied ones end before `turn` and may begin with turns that are known already, since
+    /// a caller may have been asked by another owner. Nothing is changed unless the whole
+    /// supplement is genuine.
     pub fn extend_verified(
         &mut self,
         supplied: &[Exchange],
         turn: Turn,
         digest: Digest,
     ) -> Result<(), HistoryError> {
-        if self.next_turn() as usize + supplied.len() != turn as usize {
-            return Err(HistoryError::TurnMismatch);
-        }
+        let start = (turn as usize).checked_sub(supplied.len()).ok_or(HistoryError::Gap)?;
+        let known = (self.next_turn() as usize).checked_sub(start).ok_or(HistoryError::Gap)?;
+        let supplied = supplied.get(known..).ok_or(HistoryError::Gap)?;
         let end = supplied.iter().fold(self.digest(), |it, exchange| exchange.digest(it));
         if end != digest {
             return Err(HistoryError::DigestMismatch);
--- a/crates/rosethread_program/src/program.rs
+++ b/crates/rosethread_program/src/program.rs
@@ -4,7 +4,7 @@
 
 use rosethread_types::{Digest, Outcome, Reason, Refusal, RequestId, Tokens, Turn};
 
-use crate::{Account, Continuation, Event, Exchange, Grant, History, Shortage};
+use crate::{Account, Continuation, Event, Exchange, Grant, History, HistoryError, Shortage};
 
 /// The parts of a call that decide its admission.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,6 +80,9 @@
     attempted: BTreeSet<RequestId>,
     /// Whether an earlier owner may have sent repeatable calls that nobody recorded.
     inherited: bool,
+    /// The turns that are known to have finished; the history may be behind until the caller
+    /// supplies the rest.
+    finished: Turn,
     ended: bool,
 }
 
@@ -105,6 +108,7 @@
             unknown,
             attempted: BTreeSet::new(),
             inherited: false,
+            finished: 0,
             ended,
         }
     }
@@ -130,7 +134,11 @@
     /// sending may have reached a target.
     pub fn qualify(&self, head: &CallHead, refusal: Refusal) -> Refusal {
         let by_predecessor = self.inherited && head.retry && head.repeatable;
-        let may_have_run = by_predecessor || self.attempted.contains(&head.request);
+        let may_have_run = by_predecessor
+            || self.attempted.contains(&head.request)
+            || self.unknown.contains(&head.request)
+            || self.history.find(&head.request).is_some()
+            || self.is_current(&head.request);
         if refusal.outcome == Outcome::NotRun && may_have_run {
             return Refusal { outcome: Outcome::Unknown, ..refusal };
         }
@@ -153,6 +161,9 @@
             let detail = "the program was closed";
             return refuse(Reason::ProgramEnded, detail);
         }
+        if let Err(refusal) = self.check_complete(head) {
+            return Admission::Refuse(refusal);
+        }
         let next = self.history.next_turn();
         if head.turn < next {
             let detail = format!("turn {} has finished; the next is {next}", head.turn);
@@ -171,6 +182,28 @@
         }
     }
 
+    /// Takes note that at least `finished` turns have finished.
+    pub(crate) fn require_history(&mut self, finished: Turn) {
+        self.finished = finished;
+    }
+
+    /// Refuses while turns are missing that are known to have finished: a late copy of one of them
+    /// would otherwise run again, after its successors.
+    ///
+    /// The last finished turn is an exception. Its answer may have been lost with its owner, and
+    /// then nobody can supply it, so a repeatable call may make it again.
+    fn check_complete(&self, head: &CallHead) -> Result<(), Refusal> {
+        let next = self.history.next_turn();
+        if self.finished <= next {
+            return Ok(());
+        }
+        if head.repeatable && head.turn == next && next + 1 == self.finished {
+            return Ok(());
+        }
+        let detail = format!("turns from {next} to {} are missing", self.finished - 1);
+        Err(Refusal::not_run(Reason::HistoryNeeded, detail).from_turn(next))
+    }
+
     /// Returns the answer to a call that was seen before.
     fn settled(&self, head: &CallHead) -> Option<Admission> {
         if let Some(running) = &self.running
@@ -215,8 +248,7 @@
 
     /// Settles the running call `request` and returns what the journal has to store, if anything.
     pub fn finish(&mut self, request: &RequestId, finish: Finish) -> Option<Event> {
-        let is_current = self.running.as_ref().is_some_and(|it| it.head.request == *request);
-        if !is_current {
+        if !self.is_current(request) {
             return None;
         }
         let running = self.running.take()?;
@@ -289,8 +321,13 @@
         }
         let result = self.history.extend_verified(supplied, continuation.turn, continuation.digest);
         result.map_err(|it| {
-            Refusal::not_run(Reason::HistoryMismatch, it.to_string()).from_turn(next)
+            let reason = match it {
+                HistoryError::Gap => Reason::HistoryNeeded,
+                HistoryError::DigestMismatch => Reason::HistoryMismatch,
+            };
+            Refusal::not_run(reason, it.to_string()).from_turn(next)
         })?;
+        self.supersede_running();
         for exchange in supplied {
             self.unknown.remove(&exchange.request);
         }
@@ -298,6 +335,21 @@
         Ok(())
     }
 
+    /// Gives up a running call whose turn the caller has supplied from another owner's answer.
+    ///
+    /// Its own answer would come as a second one to the same turn, and is thrown away.
+    fn supersede_running(&mut self) {
+        let next = self.history.next_turn();
+        if let Some(running) = self.running.take_if(|it| it.head.turn < next) {
+            self.account.settle(running.head.worst, 0);
+        }
+    }
+
+    /// Tells whether `request` is the call that is running.
+    pub fn is_current(&self, request: &RequestId) -> bool {
+        self.running.as_ref().is_some_and(|it| it.head.request == *request)
+    }
+
     /// Returns the event that replaces all earlier ones of the program.
     pub fn checkpoint(&self) -> Event {
         let mut unknown: Vec<RequestId> = self.unknown.iter().cloned().collect();
@@ -307,6 +359,7 @@
             spent: self.account.spent,
             limit: self.account.limit,
             history: self.history.clone(),
+            finished: self.finished.max(self.history.next_turn()),
             unknown,
             ended: self.ended,
         }
--- a/crates/rosethread_program/src/recovery.rs
+++ b/crates/rosethread_program/src/recovery.rs
@@ -17,6 +17,8 @@
     history: History,
     intended: BTreeSet<RequestId>,
     closed: bool,
+    /// The turns that are known to have finished, with or without their exchanges.
+    finished: Turn,
 }
 
 impl Recovery {
@@ -49,13 +51,15 @@
                 self.finish(turn, exchange);
             }
             Event::Closed => self.closed = true,
-            Event::Checkpoint { grant, spent, limit, history, unknown, ended } => {
+            Event::Released => (),
+            Event::Checkpoint { grant, spent, limit, history, finished, unknown, ended } => {
                 let mut account = Account::new(grant.budget);
                 account.spent = spent;
                 account.confirm(limit);
                 self.grant = Some(grant);
                 self.account = Some(account);
                 self.history = history;
+                self.finished = finished;
                 self.intended = unknown.into_iter().collect();
                 self.closed = ended;
             }
@@ -71,6 +75,7 @@
 
     /// Appends a finished turn; turns behind a gap cannot be used, and the caller supplies them.
     fn finish(&mut self, turn: Turn, exchange: Option<Exchange>) {
+        self.finished = self.finished.max(turn + 1);
         if self.history.next_turn() != turn {
             return;
         }
@@ -88,6 +93,9 @@
         let grant = self.grant?;
         let mut account = self.account?;
         account.write_off();
-        Some(Program::restored(grant, account, self.history, self.intended, self.closed))
+        let mut program =
+            Program::restored(grant, account, self.history, self.intended, self.closed);
+        program.require_history(self.finished);
+        Some(program)
     }
 }
--- a/crates/rosethread_testbed/src/lib.rs
+++ b/crates/rosethread_testbed/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod deployment;
 mod document;
+pub mod memory;
 
 mod scenario;
 mod stats;
@@ -15,5 +16,6 @@
 pub use deployment::{Deployment, DeploymentSpec, free_address, quiet_logger, terminal_logger};
 pub use document::{DocumentBuilder, key_of};
 
+pub use memory::{Cluster, ClusterSpec};
 pub use scenario::{Deploy, Scale, consortium, trailerwerk};
 pub use stats::{Latency, Summary};
--- a/crates/rosethread_testbed/src/memory.rs
+++ b/crates/rosethread_testbed/src/memory.rs
@@ -1,1 +1,17 @@
 //! Several nodes in one process on a paused clock, over in-memory fakes.
+//!
+//! A run is a pure function of its seed: all nodes share one single-threaded runtime, random
+//! sources are seeded, and every fault comes from the run's own plan.
+
+mod cluster;
+mod fuzz;
+mod network;
+mod oracle;
+mod plan;
+mod program;
+
+pub use cluster::{Cluster, ClusterSpec, Member, NodeLog};
+pub use fuzz::{FuzzOptions, RunReport, run_seed};
+pub use network::{Link, Network};
+pub use oracle::Violation;
+pub use plan::Fault;
--- /dev/null
+++ b/crates/rosethread_testbed/src/memory/oracle.rs
@@ -0,0 +1,148 @@
+//! What callers saw, and whether it agrees with what targets did.
+//!
+//! The oracle is plain lists and maps: each request with its content, what became of it, and the
+//! stand-ins' own records of what they executed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    time::Duration,
+};
+
+use rosethread_fakes::{FakeTargets, GenerationRecord};
+use rosethread_types::{Digest, Epoch, ProgramId};
+use tokio::time::Instant;
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The promise, in a few words.
+    pub promise: &'static str,
+    /// The particulars.
+    pub detail: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.promise, self.detail)
+    }
+}
+
+/// What a request asked of a target.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Content {
+    /// The digest of a whole prompt.
+    Prompt(Digest),
+    /// The body of a service call.
+    Body(String),
+}
+
+/// One request, as its caller knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) program: ProgramId,
+    pub(super) turn: u32,
+    pub(super) content: Content,
+    pub(super) repeatable: bool,
+}
+
+/// What all callers of a run saw.
+#[derive(Default)]
+pub(super) struct Observed {
+    pub(super) requests: Vec<Request>,
+    pub(super) violations: Vec<Violation>,
+    pub(super) calls: u64,
+    pub(super) answers: u64,
+    pub(super) unknown: u64,
+    pub(super) refused: BTreeMap<String, u64>,
+    pub(super) finished: u64,
+    pub(super) closed: BTreeSet<ProgramId>,
+}
+
+impl Observed {
+    pub(super) fn violate(&mut self, promise: &'static str, detail: impl Into<String>) {
+        self.violations.push(Violation { promise, detail: detail.into() });
+    }
+}
+
+/// Returns how often targets executed a request with this content.
+pub(super) fn executions(targets: &FakeTargets, content: &Content) -> usize {
+    match content {
+        Content::Prompt(digest) => targets.engines().iter().map(|it| it.executions(*digest)).sum(),
+        Content::Body(body) => targets.services().iter().map(|it| it.executions(body)).sum(),
+    }
+}
+
+/// Checks the promises that concern targets, at the end of a run.
+pub(super) fn check(observed: &mut Observed, targets: &FakeTargets) {
+    check_at_most_once(observed, targets);
+    check_order(observed, targets);
+    check_memory(observed, targets);
+}
+
+fn check_at_most_once(observed: &mut Observed, targets: &FakeTargets) {
+    let once: Vec<Request> =
+        observed.requests.iter().filter(|it| !it.repeatable).cloned().collect();
+    for request in once {
+        let count = executions(targets, &request.content);
+        if 1 < count {
+            let detail = format!("turn {} of {} ran {count} times", request.turn, request.program);
+            observed.violate("at most once", detail);
+        }
+    }
+}
+
+/// Checks that the calls of each program reached the engines in the program's order.
+fn check_order(observed: &mut Observed, targets: &FakeTargets) {
+    let mut turns: BTreeMap<(ProgramId, Digest), u32> = BTreeMap::new();
+    for request in &observed.requests {
+        if let Content::Prompt(digest) = request.content {
+            turns.insert((request.program.clone(), digest), request.turn);
+        }
+    }
+    let mut records: Vec<GenerationRecord> =
+        targets.engines().iter().flat_map(|it| it.records()).collect();
+    records.sort_by_key(|it| it.arrived);
+    let mut seen: BTreeMap<ProgramId, (u32, Epoch)> = BTreeMap::new();
+    for record in records {
+        let Some(turn) = turns.get(&(record.program.clone(), record.prompt)) else {
+            let detail = format!("an engine got a prompt that {} never made", record.program);
+            observed.violate("history never mixed", detail);
+            continue;
+        };
+        let (last, epoch) = seen.entry(record.program.clone()).or_default();
+        if *turn < *last {
+            let detail = format!(
+                "turn {turn} of {} reached an engine after turn {last}, epoch {} after {}",
+                record.program, record.epoch.0, epoch.0
+            );
+            observed.violate("calls in order", detail);
+        }
+        *last = (*last).max(*turn);
+        *epoch = (*epoch).max(record.epoch);
+    }
+}
+
+fn check_memory(observed: &mut Observed, targets: &FakeTargets) {
+    for (index, engine) in targets.engines().iter().enumerate() {
+        for program in engine.holders() {
+            let state = if observed.closed.contains(&program) { "closed" } else { "abandoned" };
+            let detail = format!("engine {index} still holds memory for the {state} {program}");
+            observed.violate("no memory for programs that are gone", detail);
+        }
+    }
+}
+
+/// Checks that a leaving engine got nothing new later than `grace` after `since`.
+pub(super) fn check_leaving(
+    observed: &mut Observed,
+    records: &[GenerationRecord],
+    since: Instant,
+    grace: Duration,
+) {
+    for record in records.iter().filter(|it| since + grace < it.arrived) {
+        let late = record.arrived - since;
+        let detail = format!("{} got work {late:?} after it was to leave", record.program);
+        observed.violate("a leaving target gets no new work", detail);
+    }
+}
--- /dev/null
+++ b/crates/rosethread_testbed/src/memory/plan.rs
@@ -0,0 +1,115 @@
+//! The faults of one run, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64;
+
+/// When the first fault may come.
+const FIRST: Duration = Duration::from_secs(3);
+
+/// The time within which all faults begin.
+const SPAN_MS: u64 = 9_000;
+
+/// The shortest and the longest fault.
+const LENGTH_MS: std::ops::Range<u64> = 500..9_000;
+
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    /// A node dies and comes back later.
+    Kill,
+    /// A node is frozen and wakes.
+    Pause,
+    /// A node is drained and replaced.
+    Drain,
+    /// A node loses the log.
+    NodeLogCut,
+    /// A zone loses the others.
+    ZoneCut,
+    /// A zone hears nothing but is heard.
+    ZoneDeaf,
+    /// A fifth of all datagrams is lost, a tenth doubled.
+    Loss,
+    /// The log refuses everything.
+    LogDown,
+    /// The log is slow.
+    LogSlow,
+    /// The log loses every third acknowledgement.
+    LogLostAck,
+    /// An engine dies and comes back.
+    EngineDown,
+    /// An engine takes requests and never answers.
+    EngineHang,
+    /// An engine breaks streams off.
+    EngineBreak,
+    /// An engine is twenty times slower.
+    EngineSlow,
+    /// An engine generates beyond its limit.
+    EngineOverrun,
+    /// A service executes requests without answering.
+    ServiceHang,
+    /// A service loses every second answer.
+    ServiceLost,
+    /// An operator takes an engine out of service.
+    TargetLeaves,
+    /// Two operators publish at once.
+    RacingPublish,
+    /// The host list is unavailable.
+    HostsDown,
+}
+
+/// All kinds of faults.
+pub(super) const ALL: [Fault; 20] = [
+    Fault::Kill,
+    Fault::Pause,
+    Fault::Drain,
+    Fault::NodeLogCut,
+    Fault::ZoneCut,
+    Fault::ZoneDeaf,
+    Fault::Loss,
+    Fault::LogDown,
+    Fault::LogSlow,
+    Fault::LogLostAck,
+    Fault::EngineDown,
+    Fault::EngineHang,
+    Fault::EngineBreak,
+    Fault::EngineSlow,
+    Fault::EngineOverrun,
+    Fault::ServiceHang,
+    Fault::ServiceLost,
+    Fault::TargetLeaves,
+    Fault::RacingPublish,
+    Fault::HostsDown,
+];
+
+/// One fault of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Planned {
+    pub(super) fault: Fault,
+    /// When it begins, from the start of the load.
+    pub(super) at: Duration,
+    pub(super) length: Duration,
+    /// Which node, zone, engine or service it hits.
+    pub(super) victim: usize,
+}
+
+/// Draws one or two faults.
+pub(super) fn draw(random: &mut Pcg64, only: Option<Fault>) -> Vec<Planned> {
+    let count = if random.random::<bool>() { 1 } else { 2 };
+    let mut plan: Vec<Planned> = (0..count).map(|_| draw_one(random)).collect();
+    if let Some(fault) = only {
+        plan[0].fault = fault;
+    }
+    plan.sort_by_key(|it| it.at);
+    plan
+}
+
+fn draw_one(random: &mut Pcg64) -> Planned {
+    Planned {
+        fault: ALL[random.random_range(0..ALL.len())],
+        at: FIRST + Duration::from_millis(random.random_range(0..SPAN_MS)),
+        length: Duration::from_millis(random.random_range(LENGTH_MS)),
+        victim: random.random_range(0..1_000),
+    }
+}
