Crossed answers, late copies, and a narrower order check

Change: engine events carry the attempt they belong to, and a foreign one breaks the attempt off; a new fault sends each event to a neighbour's stream. Where callers keep the history, the owner journals that turn n+1 acknowledges turn n. The order check leaves out calls whose sender was overtaken: the oracle reads the claims from the log and compares times.

Conclusion: what no record can stop is now counted instead of argued.

--- a/crates/rosethread_fakes/src/engine.rs
+++ b/crates/rosethread_fakes/src/engine.rs
@@ -71,6 +71,8 @@
     pub hang: bool,
     /// After how many tokens it breaks streams off; zero means never.
     pub break_after: Tokens,
+    /// Whether it sends each event to another of its streams.
+    pub cross: bool,
     /// Tokens that it generates beyond the requested limit.
     pub overrun: Tokens,
     /// By how much its steps are stretched; zero means not at all.
--- a/crates/rosethread_fakes/src/engine/step.rs
+++ b/crates/rosethread_fakes/src/engine/step.rs
@@ -74,6 +74,9 @@
     }
     prefill(&mut state, engine.config.chunk);
     let state = &mut *state;
+    if state.faults.cross {
+        cross(&mut state.running);
+    }
     let mut finished = Vec::new();
     for (index, sequence) in state.running.iter_mut().enumerate() {
         if sequence.to_prefill != 0 {
@@ -95,6 +98,14 @@
     }
 }
 
+/// Lets each running sequence send to its neighbour's client.
+fn cross(running: &mut [Sequence]) {
+    for index in 1..running.len() {
+        let (left, right) = running.split_at_mut(index);
+        std::mem::swap(&mut left[index - 1].sender, &mut right[0].sender);
+    }
+}
+
 fn prefill(state: &mut State, chunk: Tokens) {
     let mut room = chunk;
     for sequence in &mut state.running {
@@ -110,7 +121,11 @@
         let text = oracle::token_text(sequence.digest, sequence.generated);
         sequence.generated += 1;
         sequence.text.push_str(&text);
-        let event = EngineEvent::Text { text, tokens: sequence.generated };
+        let event = EngineEvent::Text {
+            attempt: sequence.request.attempt,
+            text,
+            tokens: sequence.generated,
+        };
         if !send(sequence, Ok(event)) {
             return true;
         }
--- a/crates/rosethread_fakes/src/log.rs
+++ b/crates/rosethread_fakes/src/log.rs
@@ -87,6 +87,20 @@
             .unwrap_or_default()
     }
 
+    /// Returns all records of a stream that are kept, with the time of each append.
+    pub fn timed_records(&self, stream: &StreamName) -> Vec<(Instant, LogEntry)> {
+        let state = self.state();
+        let Some(stream) = state.streams.get(stream) else {
+            return Vec::new();
+        };
+        let entries = stream.entries.iter().enumerate();
+        let entries = entries.map(|(index, (at, data))| {
+            let offset = stream.first + index as u64;
+            (*at, LogEntry { offset, data: data.clone() })
+        });
+        entries.collect()
+    }
+
     /// Appends at once, past all faults.
     pub fn append_now(&self, stream: &StreamName, data: Bytes) -> u64 {
         let mut state = self.state();
--- a/crates/rosethread_fakes/src/serve/engine.rs
+++ b/crates/rosethread_fakes/src/serve/engine.rs
@@ -38,6 +38,7 @@
 
 #[derive(Serialize)]
 struct ChatChunk {
+    id: String,
     choices: [ChatChoice; 1],
     usage: ChatUsage,
 }
@@ -120,12 +121,13 @@
             return stream.recv().await.is_none().then_some((Ok(event), (stream, false)));
         }
         match stream.recv().await? {
-            Ok(EngineEvent::Text { text, tokens }) => {
-                let chunk = chunk(text, 0, 0, tokens);
+            Ok(EngineEvent::Text { attempt, text, tokens }) => {
+                let chunk = chunk(attempt.to_string(), text, 0, 0, tokens);
                 Some((Ok(chunk), (stream, false)))
             }
             Ok(EngineEvent::Done(usage)) => {
-                let chunk = chunk(String::new(), usage.prompt, usage.cached, usage.completion);
+                let id = String::new();
+                let chunk = chunk(id, String::new(), usage.prompt, usage.cached, usage.completion);
                 Some((Ok(chunk), (stream, true)))
             }
             Err(_) => None,
@@ -133,11 +135,11 @@
     })
 }
 
-fn chunk(content: String, prompt: Tokens, cached: Tokens, completion: Tokens) -> Event {
+fn chunk(id: String, content: String, prompt: Tokens, cached: Tokens, completion: Tokens) -> Event {
     let usage =
         ChatUsage { prompt_tokens: prompt, cached_tokens: cached, completion_tokens: completion };
     let choice = ChatChoice { index: 0, delta: ChatDelta { content } };
-    let chunk = ChatChunk { choices: [choice], usage };
+    let chunk = ChatChunk { id, choices: [choice], usage };
     Event::default().json_data(chunk).unwrap_or_default()
 }
 
--- a/crates/rosethread_node/src/owner/run.rs
+++ b/crates/rosethread_node/src/owner/run.rs
@@ -104,6 +104,9 @@
     if !bounded.call.repeatable {
         announce(core, owned, bounded, deadline).await?;
     }
+    if class.history == HistoryRule::Caller && bounded.head.turn != 0 {
+        journalling::record_detached(core, owned, Event::Acknowledged(bounded.head.turn));
+    }
     let mut cost = 0;
     for attempt in 0.. {
         let may_have_run = attempt != 0;
--- a/crates/rosethread_node/src/owner/send.rs
+++ b/crates/rosethread_node/src/owner/send.rs
@@ -8,7 +8,7 @@
     TargetError,
 };
 use rosethread_program::{History, Usage};
-use rosethread_types::{ProgramId, Reason, ServiceName, Tokens};
+use rosethread_types::{AttemptId, ProgramId, Reason, ServiceName, Tokens};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -88,11 +88,12 @@
     feed: &Arc<Feed>,
     deadline: Instant,
 ) -> Result<Finished, Failure> {
+    let attempt = core.random.attempt();
     let request = {
         let mut state = owned.lock();
         state.touched.insert(target.name.clone());
         EngineRequest {
-            attempt: core.random.attempt(),
+            attempt,
             program: owned.id.clone(),
             epoch: state.epoch(),
             model: state.program.grant.model.clone(),
@@ -109,7 +110,7 @@
         Ok(Err(error)) => return Err(failure(&error, 0)),
         Err(_) => return Err(out_of_time(0)),
     };
-    let mut reading = Reading::new(bounded.max_tokens);
+    let mut reading = Reading::new(attempt, bounded.max_tokens);
     loop {
         let silence = deadline.min(Instant::now() + STREAM_SILENCE);
         let event = match timeout_at(silence, stream.recv()).await {
@@ -126,6 +127,10 @@
             core.metrics.observe_first_token(sent.elapsed());
         }
         match reading.take(event) {
+            Read::Foreign => {
+                let detail = "the engine sent text that belongs to another request";
+                return Err(failure(&TargetError::Broken(detail.to_owned()), reading.tokens));
+            }
             Read::Text(text) => feed.push(&text).map_err(|it| Failure {
                 ran: Ran::Maybe,
                 reason: Reason::TargetFailed,
@@ -143,30 +148,36 @@
 
 /// How far an engine's stream has been read.
 struct Reading {
+    attempt: AttemptId,
     tokens: Tokens,
     max_tokens: Tokens,
 }
 
 enum Read {
+    /// The event belongs to another attempt.
+    Foreign,
     Text(String),
     Done(Usage),
 }
 
 impl Reading {
-    fn new(max_tokens: Tokens) -> Reading {
-        Reading { tokens: 0, max_tokens }
+    fn new(attempt: AttemptId, max_tokens: Tokens) -> Reading {
+        Reading { attempt, tokens: 0, max_tokens }
     }
 
     /// Takes an event; an engine that generates past its limit is cut there.
     fn take(&mut self, event: EngineEvent) -> Read {
         match event {
+            EngineEvent::Text { attempt, .. } if attempt != self.attempt => Read::Foreign,
             EngineEvent::Text { tokens, .. } if self.max_tokens < tokens => {
                 Read::Done(Usage { completion: self.tokens, ..Usage::default() })
             }
-            EngineEvent::Text { text, tokens } => {
+            EngineEvent::Text { text, tokens, .. } => {
                 self.tokens = tokens;
                 Read::Text(text)
             }
+            // The end of another, shorter or longer answer.
+            EngineEvent::Done(usage) if usage.completion != self.tokens => Read::Foreign,
             EngineEvent::Done(usage) => Read::Done(self.usage(usage)),
         }
     }
--- a/crates/rosethread_platform/src/http/targets.rs
+++ b/crates/rosethread_platform/src/http/targets.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use futures::StreamExt;
-use rosethread_types::{Epoch, ProgramId};
+use rosethread_types::{AttemptId, Epoch, ProgramId};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use tokio::sync::mpsc;
@@ -45,6 +45,9 @@
 
 #[derive(Deserialize)]
 struct ChatChunk {
+    /// The identifier of the request, which the engine repeats.
+    #[serde(default)]
+    id: String,
     #[serde(default)]
     choices: Vec<ChatChoice>,
     usage: Option<ChatUsage>,
@@ -233,7 +236,8 @@
         };
     }
     let text = chunk.choices.into_iter().next()?.delta.content;
-    Some(EngineEvent::Text { text, tokens: usage.completion })
+    let attempt = AttemptId(u128::from_str_radix(&chunk.id, 16).unwrap_or_default());
+    Some(EngineEvent::Text { attempt, text, tokens: usage.completion })
 }
 
 async fn accepted(reply: reqwest::Response) -> Result<reqwest::Response, TargetError> {
--- a/crates/rosethread_platform/src/target.rs
+++ b/crates/rosethread_platform/src/target.rs
@@ -62,6 +62,8 @@
 pub enum EngineEvent {
     /// Generated text and the number of tokens generated so far.
     Text {
+        /// The attempt that the text belongs to, as the engine says.
+        attempt: AttemptId,
         /// The text since the last event.
         text: String,
         /// Tokens generated so far.
--- a/crates/rosethread_program/src/event.rs
+++ b/crates/rosethread_program/src/event.rs
@@ -42,6 +42,10 @@
         /// The exchange, if the class journals histories; the caller supplies it otherwise.
         exchange: Option<Exchange>,
     },
+    /// The caller has the answers to all turns before this one, since it made the call.
+    ///
+    /// Written where the caller keeps the history: a late copy of an earlier turn must not run.
+    Acknowledged(Turn),
     /// The program ended.
     Closed,
     /// No engine holds anything for the ended program any more.
--- a/crates/rosethread_program/src/program.rs
+++ b/crates/rosethread_program/src/program.rs
@@ -83,6 +83,8 @@
     /// The turns that are known to have finished; the history may be behind until the caller
     /// supplies the rest.
     finished: Turn,
+    /// The turns whose answers the caller is known to have.
+    acknowledged: Turn,
     ended: bool,
 }
 
@@ -109,6 +111,7 @@
             attempted: BTreeSet::new(),
             inherited: false,
             finished: 0,
+            acknowledged: 0,
             ended,
         }
     }
@@ -182,9 +185,11 @@
         }
     }
 
-    /// Takes note that at least `finished` turns have finished.
-    pub(crate) fn require_history(&mut self, finished: Turn) {
+    /// Takes note that at least `finished` turns have finished, and that the caller has the
+    /// answers to `acknowledged` of them.
+    pub(crate) fn require_history(&mut self, finished: Turn, acknowledged: Turn) {
         self.finished = finished;
+        self.acknowledged = acknowledged;
     }
 
     /// Refuses while turns are missing that are known to have finished: a late copy of one of them
@@ -197,7 +202,8 @@
         if self.finished <= next {
             return Ok(());
         }
-        if head.repeatable && head.turn == next && next + 1 == self.finished {
+        let may_be_lost = next + 1 == self.finished && self.acknowledged <= next;
+        if head.repeatable && head.turn == next && may_be_lost {
             return Ok(());
         }
         let detail = format!("turns from {next} to {} are missing", self.finished - 1);
--- a/crates/rosethread_program/src/recovery.rs
+++ b/crates/rosethread_program/src/recovery.rs
@@ -19,6 +19,8 @@
     closed: bool,
     /// The turns that are known to have finished, with or without their exchanges.
     finished: Turn,
+    /// The turns whose answers the caller is known to have.
+    acknowledged: Turn,
 }
 
 impl Recovery {
@@ -51,6 +53,7 @@
                 self.finish(turn, exchange);
             }
             Event::Closed => self.closed = true,
+            Event::Acknowledged(turn) => self.acknowledged = self.acknowledged.max(turn),
             Event::Released => (),
             Event::Checkpoint { grant, spent, limit, history, finished, unknown, ended } => {
                 let mut account = Account::new(grant.budget);
@@ -95,7 +98,7 @@
         account.write_off();
         let mut program =
             Program::restored(grant, account, self.history, self.intended, self.closed);
-        program.require_history(self.finished);
+        program.require_history(self.finished, self.acknowledged);
         Some(program)
     }
 }
--- a/crates/rosethread_testbed/examples/fuzz.rs
+++ b/crates/rosethread_testbed/examples/fuzz.rs
@@ -67,6 +67,7 @@
         total.unknown += report.unknown;
         total.finished += report.finished;
         total.stranded += report.stranded;
+        total.overtaken += report.overtaken;
         for (fault, count) in &report.faults {
             *total.faults.entry(*fault).or_default() += count;
         }
@@ -87,7 +88,7 @@
     writeln!(out, "{count} seeds in {seconds:.1} s")?;
     writeln!(out, "sendings {}, answers {}", report.calls, report.answers)?;
     writeln!(out, "programs finished {}, unknown {}", report.finished, report.unknown)?;
-    writeln!(out, "stranded tokens {}", report.stranded)?;
+    writeln!(out, "overtaken {}, stranded tokens {}", report.overtaken, report.stranded)?;
     for (reason, count) in &report.refused {
         writeln!(out, "  refused {count:>6}  {reason}")?;
     }
--- a/crates/rosethread_testbed/src/memory/plan.rs
+++ b/crates/rosethread_testbed/src/memory/plan.rs
@@ -45,6 +45,8 @@
     EngineBreak,
     /// An engine is twenty times slower.
     EngineSlow,
+    /// An engine sends answers to the wrong streams.
+    EngineCross,
     /// An engine generates beyond its limit.
     EngineOverrun,
     /// A service executes requests without answering.
@@ -60,7 +62,7 @@
 }
 
 /// All kinds of faults.
-pub(super) const ALL: [Fault; 20] = [
+pub(super) const ALL: [Fault; 21] = [
     Fault::Kill,
     Fault::Pause,
     Fault::Drain,
@@ -75,6 +77,7 @@
     Fault::EngineHang,
     Fault::EngineBreak,
     Fault::EngineSlow,
+    Fault::EngineCross,
     Fault::EngineOverrun,
     Fault::ServiceHang,
     Fault::ServiceLost,
--- a/crates/rosethread_testbed/tests/fuzz.rs
+++ b/crates/rosethread_testbed/tests/fuzz.rs
@@ -43,6 +43,7 @@
     engine_hang: (Fault::EngineHang);
     engine_break: (Fault::EngineBreak);
     engine_slow: (Fault::EngineSlow);
+    engine_cross: (Fault::EngineCross);
     engine_overrun: (Fault::EngineOverrun);
     service_hang: (Fault::ServiceHang);
     service_lost: (Fault::ServiceLost);
