Console, service-level objectives, and a check on takeovers

Cause: operators had no way to publish or see the document; the report on burn had nothing to read; "streams not cancelled at takeover" could be broken without the fuzz noticing, since the oracle knew arrivals only.

Change: rosethread-console with check, publish, show, diff, report and serve (server-rendered forms over the one validation library, a login, drafts, the document shown before it is published, and for the loser of a race who won and what differs). Nodes count objective events by class, member and target in buckets of five minutes. Stand-in engines record when each generation ended, and the oracle checks that what an earlier owner had running ended before its successor sent anything.

--- /dev/null
+++ b/crates/rosethread_console/src/args.rs
@@ -0,0 +1,111 @@
+//! The command line of the console.
+
+use getopts::Options;
+
+use crate::settings::ConsoleSettings;
+
+/// What the console is asked to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Action {
+    /// Serve the forms.
+    Serve,
+    /// Check a document.
+    Check { file: String },
+    /// Publish a document.
+    Publish { file: String },
+    /// Show the document in force and which nodes have it.
+    Show,
+    /// Show what differs between two documents.
+    Diff { old: String, new: String },
+    /// Report on service-level burn.
+    Report,
+    /// Print the version.
+    Version,
+    /// Print the usage.
+    Help,
+}
+
+/// The form of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReportFormat {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+    /// A page that stands alone.
+    Html,
+}
+
+/// The parsed command line.
+#[derive(Clone, Debug)]
+pub(crate) struct Args {
+    pub(crate) action: Action,
+    pub(crate) format: ReportFormat,
+    settings: Option<String>,
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "the console's settings file, in TOML", "FILE");
+    options.optopt("f", "format", "of the report: text, json or html (text)", "FORMAT");
+    options.optflag("V", "version", "print the version and exit");
+    options.optflag("h", "help", "print this text and exit");
+    options
+}
+
+/// Returns the text for `--help`.
+pub(crate) fn usage() -> String {
+    let brief = "Usage: rosethread-console [options] COMMAND
+
+Commands:
+    serve           serve the forms
+    check FILE      check a document
+    publish FILE    publish a document, edited from the revision in force
+    show            show the document in force, and which nodes lag
+    diff OLD NEW    show what differs between two documents
+    report          report on service-level burn";
+    options().usage(brief)
+}
+
+impl Args {
+    /// Parses the arguments after the program's name.
+    pub(crate) fn parse(arguments: impl Iterator<Item = String>) -> Result<Args, String> {
+        let matches = options().parse(arguments).map_err(|it| it.to_string())?;
+        let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+        let action = if matches.opt_present("help") {
+            Action::Help
+        } else if matches.opt_present("version") {
+            Action::Version
+        } else {
+            action(&free)?
+        };
+        let format = match matches.opt_str("format").as_deref() {
+            None | Some("text") => ReportFormat::Text,
+            Some("json") => ReportFormat::Json,
+            Some("html") => ReportFormat::Html,
+            Some(other) => return Err(format!("--format = {other}: must be text, json or html")),
+        };
+        Ok(Args { action, format, settings: matches.opt_str("settings") })
+    }
+
+    /// Reads the console's settings.
+    pub(crate) fn settings(&self) -> Result<ConsoleSettings, String> {
+        let path = self.settings.as_deref().ok_or("--settings FILE is missing")?;
+        let text = std::fs::read_to_string(path).map_err(|it| format!("{path}: {it}"))?;
+        ConsoleSettings::parse(&text).map_err(|it| format!("{path}: {it}"))
+    }
+}
+
+fn action(free: &[&str]) -> Result<Action, String> {
+    let owned = |it: &&str| (*it).to_owned();
+    match free {
+        ["serve"] => Ok(Action::Serve),
+        ["check", file] => Ok(Action::Check { file: owned(file) }),
+        ["publish", file] => Ok(Action::Publish { file: owned(file) }),
+        ["show"] => Ok(Action::Show),
+        ["diff", old, new] => Ok(Action::Diff { old: owned(old), new: owned(new) }),
+        ["report"] => Ok(Action::Report),
+        [] => Err("no command; see --help".to_owned()),
+        [other, ..] => Err(format!("{other}: unknown command or wrong arguments; see --help")),
+    }
+}
--- /dev/null
+++ b/crates/rosethread_console/src/forms.rs
@@ -0,0 +1,233 @@
+//! The forms: server-rendered pages whose only output is a document.
+
+mod draft;
+mod pages;
+mod schema;
+mod session;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use axum::{
+    Form, Router,
+    extract::{Path, State},
+    http::{HeaderMap, StatusCode, header},
+    response::{Html, IntoResponse, Redirect, Response},
+    routing::{get, post},
+};
+use rosethread_config::Document;
+use tokio::net::TcpListener;
+
+use crate::{
+    commands,
+    forms::{draft::Draft, schema::Section, session::Sessions},
+    settings::ConsoleSettings,
+    stream::{ConfigStream, Published},
+};
+
+/// What all requests share.
+struct Console {
+    settings: ConsoleSettings,
+    sessions: Sessions,
+    /// Each operator's draft.
+    drafts: Mutex<BTreeMap<String, Draft>>,
+}
+
+type Shared = Arc<Console>;
+type Fields = BTreeMap<String, String>;
+
+/// Serves the forms until the process is stopped.
+pub(crate) async fn serve(settings: ConsoleSettings) -> Result<String, String> {
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .map_err(|it| format!("listen = {}: {it}", settings.listen))?;
+    axum::serve(listener, router(settings)).await.map_err(|it| it.to_string())?;
+    Ok(String::new())
+}
+
+fn router(settings: ConsoleSettings) -> Router {
+    let console =
+        Console { settings, sessions: Sessions::default(), drafts: Mutex::new(BTreeMap::new()) };
+    Router::new()
+        .route("/", get(overview))
+        .route("/login", get(login_page).post(login))
+        .route("/section/{section}", get(section))
+        .route("/section/{section}/{index}", get(entry).post(save))
+        .route("/section/{section}/{index}/remove", post(remove))
+        .route("/reload", post(reload))
+        .route("/publish", get(preview).post(publish))
+        .with_state(Arc::new(console))
+}
+
+impl Console {
+    fn drafts(&self) -> MutexGuard<'_, BTreeMap<String, Draft>> {
+        self.drafts.lock().expect("no holder of the drafts panics")
+    }
+
+    /// Returns the operator's draft, which starts from the document in force.
+    async fn draft(&self, operator: &str) -> Result<Draft, Response> {
+        if let Some(draft) = self.drafts().get(operator) {
+            return Ok(draft.clone());
+        }
+        let state = ConfigStream::new(&self.settings).read(None).await;
+        let state = state.map_err(|it| failure(&format!("the log cannot be read: {it}")))?;
+        let draft = Draft::from_document(&state.in_force.document, state.in_force.revision);
+        self.drafts().insert(operator.to_owned(), draft.clone());
+        Ok(draft)
+    }
+
+    fn keep(&self, operator: &str, draft: Draft) {
+        self.drafts().insert(operator.to_owned(), draft);
+    }
+
+    /// Returns the operator who is logged in.
+    fn operator(&self, headers: &HeaderMap) -> Option<String> {
+        let cookie = headers.get(header::COOKIE).and_then(|it| it.to_str().ok());
+        cookie.and_then(|it| self.sessions.operator(it))
+    }
+}
+
+fn failure(text: &str) -> Response {
+    (StatusCode::SERVICE_UNAVAILABLE, Html(pages::message("Not now", text))).into_response()
+}
+
+fn to_login() -> Response {
+    Redirect::to("/login").into_response()
+}
+
+fn not_found() -> Response {
+    (StatusCode::NOT_FOUND, Html(pages::message("Not found", "There is no such form.")))
+        .into_response()
+}
+
+async fn login_page() -> Html<String> {
+    Html(pages::login(None))
+}
+
+async fn login(State(console): State<Shared>, Form(fields): Form<Fields>) -> Response {
+    let field = |name: &str| fields.get(name).map(String::as_str).unwrap_or_default();
+    let operators = &console.settings.operators;
+    match console.sessions.login(operators, field("name"), field("password")) {
+        Some(cookie) => ([(header::SET_COOKIE, cookie)], Redirect::to("/")).into_response(),
+        None => {
+            let page = pages::login(Some("The name or the password is wrong."));
+            (StatusCode::UNAUTHORIZED, Html(page)).into_response()
+        }
+    }
+}
+
+async fn overview(
+    State(console): State<Shared>,
+    headers: HeaderMap,
+) -> Result<Html<String>, Response> {
+    let operator = console.operator(&headers).ok_or_else(to_login)?;
+    let draft = console.draft(&operator).await?;
+    let lag = commands::lag_lines(&console.settings, draft.base.0).await;
+    Ok(Html(pages::overview(&operator, &draft, &lag)))
+}
+
+async fn section(
+    State(console): State<Shared>,
+    headers: HeaderMap,
+    Path(name): Path<String>,
+) -> Result<Html<String>, Response> {
+    let operator = console.operator(&headers).ok_or_else(to_login)?;
+    let section = Section::find(&name).ok_or_else(not_found)?;
+    let draft = console.draft(&operator).await?;
+    Ok(Html(pages::section(section, &draft)))
+}
+
+async fn entry(
+    State(console): State<Shared>,
+    headers: HeaderMap,
+    Path((name, index)): Path<(String, usize)>,
+) -> Result<Html<String>, Response> {
+    let operator = console.operator(&headers).ok_or_else(to_login)?;
+    let section = Section::find(&name).ok_or_else(not_found)?;
+    let draft = console.draft(&operator).await?;
+    let values = draft.values(section, index);
+    Ok(Html(pages::entry(section, index, &values, &BTreeMap::new())))
+}
+
+/// Saves one entry to the draft; errors are shown beside their fields, and nothing is lost.
+async fn save(
+    State(console): State<Shared>,
+    headers: HeaderMap,
+    Path((name, index)): Path<(String, usize)>,
+    Form(fields): Form<Fields>,
+) -> Result<Response, Response> {
+    let operator = console.operator(&headers).ok_or_else(to_login)?;
+    let section = Section::find(&name).ok_or_else(not_found)?;
+    let mut draft = console.draft(&operator).await?;
+    let errors = draft.save(section, index, &fields);
+    if errors.is_empty() {
+        console.keep(&operator, draft);
+        return Ok(Redirect::to(&format!("/section/{name}")).into_response());
+    }
+    let page = pages::entry(section, index, &fields, &errors);
+    Ok((StatusCode::UNPROCESSABLE_ENTITY, Html(page)).into_response())
+}
+
+async fn remove(
+    State(console): State<Shared>,
+    headers: HeaderMap,
+    Path((name, index)): Path<(String, usize)>,
+) -> Result<Redirect, Response> {
+    let operator = console.operator(&headers).ok_or_else(to_login)?;
+    let section = Section::find(&name).ok_or_else(not_found)?;
+    let mut draft = console.draft(&operator).await?;
+    draft.remove(section, index);
+    console.keep(&operator, draft);
+    Ok(Redirect::to(&format!("/section/{name}")))
+}
+
+/// Throws the draft away and starts again from the document in force.
+async fn reload(State(console): State<Shared>, headers: HeaderMap) -> Result<Redirect, Response> {
+    let operator = console.operator(&headers).ok_or_else(to_login)?;
+    console.drafts().remove(&operator);
+    Ok(Redirect::to("/"))
+}
+
+/// Shows the document before it is published.
+async fn preview(
+    State(console): State<Shared>,
+    headers: HeaderMap,
+) -> Result<Html<String>, Response> {
+    let operator = console.operator(&headers).ok_or_else(to_login)?;
+    let draft = console.draft(&operator).await?;
+    Ok(Html(match draft.document() {
+        Ok(document) => {
+            let changes = rosethread_config::diff(&draft.origin, &document);
+            pages::preview(&document.to_text(), &changes)
+        }
+        Err(problems) => pages::message("The document is not valid", &problems.to_string()),
+    }))
+}
+
+async fn publish(State(console): State<Shared>, headers: HeaderMap) -> Result<Response, Response> {
+    let operator = console.operator(&headers).ok_or_else(to_login)?;
+    let draft = console.draft(&operator).await?;
+    let document: Document = match draft.document() {
+        Ok(document) => document,
+        Err(problems) => {
+            let page = pages::message("The document is not valid", &problems.to_string());
+            return Ok((StatusCode::UNPROCESSABLE_ENTITY, Html(page)).into_response());
+        }
+    };
+    let stream = ConfigStream::new(&console.settings);
+    let published = stream.publish(&document, draft.base, &operator).await;
+    match published.map_err(|it| failure(&it))? {
+        Published::InForce(revision) => {
+            console.drafts().remove(&operator);
+            let text = format!("Revision {revision} by {operator} is in force.");
+            Ok(Html(pages::message("Published", &text)).into_response())
+        }
+        Published::Void { reason, in_force } => {
+            let changes = rosethread_config::diff(&in_force.document, &document);
+            let page = pages::lost_race(&reason.to_string(), &changes);
+            Ok((StatusCode::CONFLICT, Html(page)).into_response())
+        }
+    }
+}
--- a/crates/rosethread_console/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- /dev/null
+++ b/crates/rosethread_console/src/main.rs
@@ -0,0 +1,63 @@
+//! The `rosethread-console`: how operators check, publish, compare and edit the document.
+//!
+//! The forms of `serve` and the commands share one validation library, `rosethread_config`. The
+//! document they produce is the whole of what is in force; there is no other way to change it.
+
+mod args;
+mod commands;
+mod forms;
+mod report;
+mod settings;
+mod stream;
+
+use std::{
+    io::{self, Write},
+    process::ExitCode,
+};
+
+use crate::args::{Action, Args};
+
+fn main() -> ExitCode {
+    let args = match Args::parse(std::env::args().skip(1)) {
+        Ok(args) => args,
+        Err(error) => return fail(&error),
+    };
+    match run(&args) {
+        Ok(text) => print(&text),
+        Err(error) => fail(&error),
+    }
+}
+
+fn run(args: &Args) -> Result<String, String> {
+    match &args.action {
+        Action::Help => Ok(args::usage()),
+        Action::Version => Ok(format!("rosethread-console {}\n", env!("CARGO_PKG_VERSION"))),
+        Action::Check { file } => commands::check(file),
+        Action::Diff { old, new } => commands::diff(old, new),
+        Action::Publish { file } => on_runtime(commands::publish(&args.settings()?, file)),
+        Action::Show => on_runtime(commands::show(&args.settings()?)),
+        Action::Report => on_runtime(report::report(&args.settings()?, args.format)),
+        Action::Serve => on_runtime(forms::serve(args.settings()?)),
+    }
+}
+
+fn on_runtime<F>(future: F) -> Result<String, String>
+where
+    F: Future<Output = Result<String, String>>,
+{
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.map_err(|it| format!("the runtime could not be built: {it}"))?.block_on(future)
+}
+
+fn print(text: &str) -> ExitCode {
+    match io::stdout().write_all(text.as_bytes()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(_) => ExitCode::FAILURE,
+    }
+}
+
+fn fail(text: &str) -> ExitCode {
+    // Nothing is left to do if the error cannot be shown.
+    let _ = writeln!(io::stderr(), "rosethread-console: {text}");
+    ExitCode::FAILURE
+}
--- a/crates/rosethread_fakes/src/engine.rs
+++ b/crates/rosethread_fakes/src/engine.rs
@@ -96,6 +96,8 @@
     pub max_tokens: Tokens,
     /// Tokens generated so far.
     pub generated: Tokens,
+    /// When the generation ended, for whatever reason.
+    pub ended: Option<Instant>,
 }
 
 pub(crate) struct Sequence {
@@ -320,6 +322,7 @@
         arrived: Instant::now(),
         max_tokens: request.max_tokens,
         generated: 0,
+        ended: None,
     });
     let wanted = oracle::wanted_tokens(&request.messages);
     let limit = wanted.min(request.max_tokens + state.faults.overrun);
@@ -339,8 +342,21 @@
 
 impl State {
     fn cancel(&mut self, program: &ProgramId) {
-        self.running.retain(|it| it.request.program != *program);
-        self.waiting.retain(|_, it| it.request.program != *program);
+        self.retain(|it| it.request.program != *program);
+    }
+
+    /// Ends the generations that `keep` does not keep.
+    fn retain(&mut self, keep: impl Fn(&Sequence) -> bool) {
+        let records = &mut self.records;
+        let mut is_kept = |it: &Sequence| {
+            let is_kept = keep(it);
+            if !is_kept {
+                records[it.record].ended = Some(Instant::now());
+            }
+            is_kept
+        };
+        self.running.retain(&mut is_kept);
+        self.waiting.retain(|_, it| is_kept(it));
     }
 }
 
--- a/crates/rosethread_fakes/src/engine/step.rs
+++ b/crates/rosethread_fakes/src/engine/step.rs
@@ -4,7 +4,10 @@
 
 use rosethread_platform::{EngineEvent, TargetError};
 use rosethread_types::Tokens;
-use tokio::{sync::mpsc::error::TrySendError, time::sleep};
+use tokio::{
+    sync::mpsc::error::TrySendError,
+    time::{Instant, sleep},
+};
 
 use crate::{
     FakeEngine,
@@ -30,22 +33,19 @@
 fn plan(engine: &FakeEngine) -> Option<Duration> {
     let mut state = engine.state();
     if state.faults.hang || state.faults.down {
-        state.running.retain(|it| !it.sender.is_closed());
-        state.waiting.retain(|_, it| !it.sender.is_closed());
+        state.retain(|it| !it.sender.is_closed());
         if state.faults.down {
             break_all(&mut state);
         }
         let is_idle = state.running.is_empty() && state.waiting.is_empty();
         return (!is_idle).then_some(engine.config.step);
     }
-    state.running.retain(|it| !it.sender.is_closed());
+    state.retain(|it| !it.sender.is_closed());
     while state.running.len() < engine.config.slots {
         let Some((_, sequence)) = state.waiting.pop_first() else {
             break;
         };
-        if !sequence.sender.is_closed() {
-            state.running.push(sequence);
-        }
+        state.running.push(sequence);
     }
     if state.running.is_empty() {
         return None;
@@ -59,11 +59,11 @@
 }
 
 fn break_all(state: &mut State) {
-    let waiting = std::mem::take(&mut state.waiting).into_values();
-    for sequence in state.running.drain(..).chain(waiting) {
+    for sequence in state.running.iter().chain(state.waiting.values()) {
         let error = TargetError::Broken("the engine went down".to_owned());
         let _ = sequence.sender.try_send(Err(error));
     }
+    state.retain(|_| false);
 }
 
 /// Does the work of one step.
@@ -90,6 +90,7 @@
     }
     for index in finished.into_iter().rev() {
         let sequence = state.running.swap_remove(index);
+        state.records[sequence.record].ended = Some(Instant::now());
         let request = &sequence.request;
         // The next turn's prompt continues with this one, less its closing bracket.
         let prompt = request.messages.trim_end_matches(']').as_bytes();
--- a/crates/rosethread_node/src/api.rs
+++ b/crates/rosethread_node/src/api.rs
@@ -61,5 +61,6 @@
 }
 
 async fn metrics(State(node): State<NodeHandle>) -> String {
-    node.metrics().render()
+    let core = &node.core;
+    core.metrics.render() + &core.objectives.render(core.now())
 }
--- a/crates/rosethread_node/src/core.rs
+++ b/crates/rosethread_node/src/core.rs
@@ -25,6 +25,7 @@
     owner::Owned,
     peers::{Datagrams, Peers},
     random::Random,
+    slo::Objectives,
     tasks::Tasks,
     timer::Timer,
 };
@@ -87,6 +88,7 @@
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) dispatch: Dispatch,
     pub(crate) limits: MemberLimits,
+    pub(crate) objectives: Objectives,
     programs: Mutex<BTreeMap<ProgramId, Arc<Owned>>>,
     takeovers: Mutex<BTreeMap<ProgramId, Arc<tokio::sync::Mutex<()>>>>,
     /// Calls under way here, for summaries.
@@ -130,6 +132,7 @@
             phase: watch::Sender::new(Phase::Serving),
             dispatch: Dispatch::default(),
             limits: MemberLimits::default(),
+            objectives: Objectives::default(),
             programs: Mutex::default(),
             takeovers: Mutex::default(),
             calls: AtomicU32::new(0),
--- a/crates/rosethread_node/src/lib.rs
+++ b/crates/rosethread_node/src/lib.rs
@@ -21,6 +21,7 @@
 mod random;
 mod route;
 mod signal;
+mod slo;
 mod tasks;
 mod timer;
 
--- a/crates/rosethread_node/src/metrics.rs
+++ b/crates/rosethread_node/src/metrics.rs
@@ -95,7 +95,7 @@
             suspicions: gauge("rosethread_suspicions", "Suspicions raised since the start."),
             first_token_seconds: histogram(
                 "rosethread_first_token_seconds",
-                "Time from a target's slot to the first token.",
+                "Time from a call's arrival to its first token.",
             ),
             takeover_seconds: histogram("rosethread_takeover_seconds", "Time of a takeover."),
             calls: register(&registry, calls),
--- a/crates/rosethread_node/src/owner.rs
+++ b/crates/rosethread_node/src/owner.rs
@@ -65,6 +65,10 @@
     /// Whether the journal says that the ended program holds nothing.
     is_released: bool,
     last_used: Instant,
+    /// When the first call that ended here had arrived.
+    first_call: Option<Instant>,
+    /// When the last answer was whole.
+    last_answer: Option<Instant>,
     /// Whether a handover is under way, during which no call starts.
     frozen: bool,
     /// Open sub-agents and the tokens held for each.
@@ -82,6 +86,8 @@
             touched: BTreeSet::new(),
             is_released: false,
             last_used: Instant::now(),
+            first_call: None,
+            last_answer: None,
             frozen: false,
             children: BTreeMap::new(),
         };
--- a/crates/rosethread_node/src/owner/close.rs
+++ b/crates/rosethread_node/src/owner/close.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use rosethread_config::ObjectiveKind;
 use rosethread_platform::CacheHold;
 use rosethread_program::Event;
 use rosethread_types::{MemberName, ProgramId, Reason, Refusal};
@@ -10,6 +11,7 @@
     call::ProgramStatus,
     core::Core,
     owner::{Owned, journalling, send},
+    slo::Subject,
 };
 
 /// Ends a program that this node owns: cancels its call and releases its memory everywhere.
@@ -24,6 +26,7 @@
         let children: Vec<ProgramId> = state.children.keys().cloned().collect();
         (event, parent, state.program.account.spent, children)
     };
+    observe_latency(core, owned);
     journalling::record_detached(core, owned, event);
     let (releasing, of) = (core.clone(), owned.clone());
     core.tasks.spawn(async move { release_all(&releasing, &of).await });
@@ -39,6 +42,22 @@
     owned.notify();
 }
 
+/// Counts the time from the program's first call to its last answer.
+fn observe_latency(core: &Core, owned: &Owned) {
+    let (class, latency) = {
+        let state = owned.lock();
+        let latency = state.first_call.zip(state.last_answer).map(|(first, last)| last - first);
+        (state.program.grant.class.clone(), latency)
+    };
+    let Some(latency) = latency else {
+        return;
+    };
+    let subject = Subject { class: &class, member: &owned.id.member, target: None };
+    let in_force = core.document.borrow().clone();
+    let kind = ObjectiveKind::ProgramLatency;
+    core.objectives.observe_time(&in_force.document, core.now(), kind, subject, latency);
+}
+
 /// Returns the unused part of a sub-agent's budget to its parent.
 fn settle_child(core: &Core, parent: &ProgramId, child: &ProgramId, spent: u64) {
     let Some(parent) = core.owned(parent) else {
--- a/crates/rosethread_node/src/owner/run.rs
+++ b/crates/rosethread_node/src/owner/run.rs
@@ -26,6 +26,7 @@
         serve::{Bounded, grow, grow_ahead, time_left},
         strategy,
     },
+    slo::Subject,
 };
 
 /// How long a queued call outlives its last caller, who may come back.
@@ -69,12 +70,35 @@
         core.limits.end(&member);
     }
     let result = settle(&core, &owned, &bounded, result);
-    core.metrics.observe_call(&owned.lock().program.grant.class, arrived.elapsed(), &result);
+    observe_end(&core, &owned, &bounded, arrived, &result);
     feed.finish(result);
     owned.notify();
     grow_ahead(&core, &owned);
 }
 
+fn observe_end(
+    core: &Core,
+    owned: &Owned,
+    bounded: &Bounded,
+    arrived: Instant,
+    result: &Result<Answer, Refusal>,
+) {
+    let (class, target) = {
+        let mut state = owned.lock();
+        state.first_call.get_or_insert(arrived);
+        if result.is_ok() {
+            state.last_answer = Some(Instant::now());
+        }
+        let target = state.cached.as_ref().map(|(target, _)| target.clone());
+        (state.program.grant.class.clone(), target)
+    };
+    core.metrics.observe_call(&class, arrived.elapsed(), result);
+    let member = &owned.id.member;
+    let subject = Subject { class: &class, member, target: target.as_ref() };
+    let document = &bounded.in_force.document;
+    core.objectives.observe_end(document, core.now(), subject, result.is_ok());
+}
+
 fn start_limits(core: &Core, bounded: &Bounded) -> Result<(), Refusal> {
     let Some(member) = bounded.in_force.document.member(&bounded.call.program.member) else {
         let detail = "the member is no longer in the document";
--- a/crates/rosethread_node/src/owner/send.rs
+++ b/crates/rosethread_node/src/owner/send.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rosethread_config::Target;
+use rosethread_config::{ObjectiveKind, Target};
 use rosethread_platform::{
     CacheHold, EngineEvent, EngineRequest, EngineUsage, Ran, ServiceRequest, TargetAddress,
     TargetError,
@@ -16,6 +16,7 @@
     core::Core,
     feed::Feed,
     owner::{Owned, serve::Bounded},
+    slo::Subject,
 };
 
 /// The longest silence of an engine between two events.
@@ -104,7 +105,6 @@
             priority: priority(bounded, &state.program.grant.class),
         }
     };
-    let sent = Instant::now();
     let address = address(target);
     let opening = timeout_at(deadline, core.targets.generate(&address, request)).await;
     let mut stream = match opening {
@@ -125,9 +125,8 @@
             Err(_) if deadline <= Instant::now() => return Err(out_of_time(reading.max_tokens)),
             Err(_) => return Err(failure(&TargetError::TimedOut, reading.max_tokens)),
         };
-        if reading.tokens == 0 {
-            core.metrics.observe_first_token(sent.elapsed());
-        }
+        observe_token(core, owned, bounded, target, reading.last);
+        reading.last = Some(Instant::now());
         match reading.take(event) {
             Read::Foreign => {
                 let detail = "the engine sent text that belongs to another request";
@@ -153,6 +152,8 @@
     attempt: AttemptId,
     tokens: Tokens,
     max_tokens: Tokens,
+    /// When the last event came.
+    last: Option<Instant>,
 }
 
 enum Read {
@@ -164,7 +165,7 @@
 
 impl Reading {
     fn new(attempt: AttemptId, max_tokens: Tokens) -> Reading {
-        Reading { attempt, tokens: 0, max_tokens }
+        Reading { attempt, tokens: 0, max_tokens, last: None }
     }
 
     /// Takes an event; an engine that generates past its limit is cut there.
@@ -193,6 +194,27 @@
     }
 }
 
+/// Counts the time to the first token, or from the token before.
+fn observe_token(
+    core: &Core,
+    owned: &Owned,
+    bounded: &Bounded,
+    target: &Target,
+    last: Option<Instant>,
+) {
+    let class = owned.lock().program.grant.class.clone();
+    let subject = Subject { class: &class, member: &owned.id.member, target: Some(&target.name) };
+    let (kind, since) = match last {
+        Some(last) => (ObjectiveKind::BetweenTokens, last),
+        None => {
+            core.metrics.observe_first_token(bounded.arrived.elapsed());
+            (ObjectiveKind::FirstToken, bounded.arrived)
+        }
+    };
+    let document = &bounded.in_force.document;
+    core.objectives.observe_time(document, core.now(), kind, subject, since.elapsed());
+}
+
 /// Returns the whole prompt: the history's messages and those of this turn.
 fn prompt(history: &History, messages: &str) -> String {
     let mut prompt = String::with_capacity(history.bytes() + messages.len() + 2);
--- a/crates/rosethread_node/src/owner/serve.rs
+++ b/crates/rosethread_node/src/owner/serve.rs
@@ -39,6 +39,8 @@
     /// The most tokens to generate.
     pub(super) max_tokens: Tokens,
     pub(super) in_force: Arc<InForce>,
+    /// When the call reached its owner.
+    pub(super) arrived: Instant,
 }
 
 /// Serves a call of a program that this node owns.
@@ -183,7 +185,7 @@
         .repeatable(call.repeatable)
         .retry(call.retry);
     drop(state);
-    Ok(Bounded { call, head, max_tokens, in_force })
+    Ok(Bounded { call, head, max_tokens, in_force, arrived: Instant::now() })
 }
 
 /// Returns the most tokens that `messages` can have: no token is shorter than a byte.
--- a/crates/rosethread_testbed/examples/slopes.rs
+++ b/crates/rosethread_testbed/examples/slopes.rs
@@ -32,9 +32,10 @@
 }
 
 fn main() -> io::Result<()> {
-    membership()?;
-    journal()?;
+    // Memory is measured first, before anything is freed that could be used again.
     programs()?;
+    journal()?;
+    membership()?;
     decisions()?;
     recovery()
 }
@@ -265,6 +266,7 @@
         memory.push(Point { x: n as f64, y: (resident() - before) / 1e6 });
         folds.push(fold);
     }
+    std::mem::forget(folds);
     fit("index of n programs", "MB", &memory)?;
     fit("folding one record at n programs", "us", &micros)
 }
@@ -290,6 +292,7 @@
         memory.push(Point { x: n as f64, y: (resident() - before) / 1e6 });
         kept.push(programs);
     }
+    std::mem::forget(kept);
     fit("n programs of 10 turns, 4000 B of history each", "MB", &memory)?;
     let keys = SealKeys::new(SealKey(vec![9; 32]), Vec::new());
     let continuation = Continuation {
--- a/crates/rosethread_testbed/src/memory/oracle.rs
+++ b/crates/rosethread_testbed/src/memory/oracle.rs
@@ -83,6 +83,7 @@
 pub(super) fn check(observed: &mut Observed, targets: &FakeTargets, log: &FakeLog) {
     check_at_most_once(observed, targets);
     check_budgets(observed, targets);
+    check_takeovers(observed, targets);
     check_order(observed, targets, log);
     check_memory(observed, targets);
 }
@@ -99,6 +100,22 @@
     }
 }
 
+/// Checks that what an earlier owner had running ended before its successor sent anything.
+fn check_takeovers(observed: &mut Observed, targets: &FakeTargets) {
+    let mut records: Vec<GenerationRecord> =
+        targets.engines().iter().flat_map(|it| it.records()).collect();
+    records.sort_by(|a, b| (&a.program, a.arrived).cmp(&(&b.program, b.arrived)));
+    for (index, old) in records.iter().enumerate() {
+        let later = records[index + 1..].iter().take_while(|it| it.program == old.program);
+        let next = later.into_iter().find(|it| old.epoch < it.epoch);
+        let is_running = next.is_some_and(|it| old.ended.is_none_or(|end| it.arrived < end));
+        if is_running && old.epoch != Epoch::UNCLAIMED {
+            let detail = format!("a stream of {} ran beside its successor's", old.program);
+            observed.violate("streams end before a takeover goes on", detail);
+        }
+    }
+}
+
 /// Checks that engines generated no more for a program than its budget allows.
 ///
 /// Every attempt counts, whoever sent it and whatever became of it. What an engine generates beyond
