--- a/crates/rosethread_testbed/examples/latency.rs
+++ b/crates/rosethread_testbed/examples/latency.rs
@@ -85,6 +85,7 @@
 async fn start() -> (Deployment, SocketAddr) {
     let spec = DeploymentSpec {
         node_zones: vec!["a".to_owned(); 3],
+        base_port: None,
         period_ms: 400,
         logger: quiet_logger(),
     };
--- /dev/null
+++ b/crates/rosethread_testbed/examples/playground.rs
@@ -0,0 +1,35 @@
+//! Keeps the Consortium's miniature deployment running on fixed ports, to try calls by hand.
+//!
+//! Usage: `cargo run --release --example playground -- [--seconds 3600]`. The log service is at
+//! port 7000, and the nodes' addresses for callers are at ports 7100, 7110, 7120 and 7130. The
+//! key of member `lyra` is `key-of-lyra`. docs/API.md has a line for each call.
+
+use std::{
+    io::{self, Write},
+    time::Duration,
+};
+
+use getopts::Options;
+use rosethread_config::PolicyName;
+use rosethread_fakes::EngineConfig;
+use rosethread_testbed::{Scale, consortium_at};
+
+/// The first port.
+const BASE_PORT: u16 = 7_000;
+
+fn main() -> io::Result<()> {
+    let mut options = Options::new();
+    options.optopt("s", "seconds", "how long to run (3600)", "N");
+    let matches = options.parse(std::env::args().skip(1)).map_err(io::Error::other)?;
+    let seconds = matches.opt_get_default("seconds", 3_600).map_err(io::Error::other)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let engine = EngineConfig::default();
+        let policy = PolicyName::Adaptive;
+        let deploy = consortium_at(Some(BASE_PORT), Scale::Miniature, engine, policy).await;
+        writeln!(io::stdout(), "serving callers at {:?}", deploy.deployment.addresses())?;
+        tokio::time::sleep(Duration::from_secs(seconds)).await;
+        deploy.deployment.stop().await;
+        Ok(())
+    })
+}
--- a/crates/rosethread_testbed/src/deployment.rs
+++ b/crates/rosethread_testbed/src/deployment.rs
@@ -34,6 +34,8 @@
 pub struct DeploymentSpec {
     /// The zones, one for each node.
     pub node_zones: Vec<String>,
+    /// The first of a row of ports to use; free ones are chosen if absent.
+    pub base_port: Option<u16>,
     /// The time between two probes of the failure detector, in milliseconds.
     pub period_ms: u64,
     /// The logger of all nodes.
@@ -76,9 +78,18 @@
     listener.local_addr().expect("a bound socket has an address")
 }
 
+/// Returns the loopback address `offset` ports after the first, or a free one.
+fn address(base_port: Option<u16>, offset: u16) -> SocketAddr {
+    base_port.map_or_else(free_address, |it| SocketAddr::from(([127, 0, 0, 1], it + offset)))
+}
+
 /// Binds a listener on a free loopback port.
 async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+    listen_at(SocketAddr::from(([127, 0, 0, 1], 0))).await
+}
+
+async fn listen_at(address: SocketAddr) -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind(address).await.expect("the port is free");
     let address = listener.local_addr().expect("a bound socket has an address");
     (listener, address)
 }
@@ -87,12 +98,16 @@
     /// Starts the stand-ins and the nodes; targets and the document come afterwards.
     pub async fn start(spec: &DeploymentSpec) -> Deployment {
         let log = Arc::new(FakeLog::new());
-        let (listener, log_address) = listen().await;
+        let (listener, log_address) = listen_at(address(spec.base_port, 0)).await;
         tokio::spawn(serve_log(listener, log.clone()));
-        let entries: Vec<HostEntry> =
-            spec.node_zones.iter().enumerate().map(|(index, zone)| entry(index, zone)).collect();
+        let entries: Vec<HostEntry> = spec
+            .node_zones
+            .iter()
+            .enumerate()
+            .map(|(index, zone)| entry(spec, index, zone))
+            .collect();
         let hosts = Arc::new(FakeHosts::new(Duration::ZERO, entries.clone()));
-        let (listener, hosts_address) = listen().await;
+        let (listener, hosts_address) = listen_at(address(spec.base_port, 1)).await;
         tokio::spawn(serve_hosts(listener, hosts.clone()));
         let settings = entries.iter().map(|it| {
             let settings = settings(it, log_address, hosts_address, spec.period_ms);
@@ -215,13 +230,14 @@
     }
 }
 
-fn entry(index: usize, zone: &str) -> HostEntry {
+fn entry(spec: &DeploymentSpec, index: usize, zone: &str) -> HostEntry {
+    let port = 100 + 10 * index as u16;
     HostEntry {
         node: valid(&format!("node-{index}")),
         zone: valid(zone),
-        caller: free_address(),
-        peer: free_address(),
-        heartbeat: free_address(),
+        caller: address(spec.base_port, port),
+        peer: address(spec.base_port, port + 1),
+        heartbeat: address(spec.base_port, port + 2),
         state: HostState::Live,
     }
 }
--- a/crates/rosethread_testbed/src/lib.rs
+++ b/crates/rosethread_testbed/src/lib.rs
@@ -17,5 +17,5 @@
 pub use document::{DocumentBuilder, key_of};
 
 pub use memory::{Cluster, ClusterSpec};
-pub use scenario::{Deploy, Scale, consortium, trailerwerk};
+pub use scenario::{Deploy, Scale, consortium, consortium_at, trailerwerk};
 pub use stats::{Latency, Summary};
--- a/crates/rosethread_testbed/src/scenario.rs
+++ b/crates/rosethread_testbed/src/scenario.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rosethread_config::{Document, EngineSpec, PolicyName};
+use rosethread_config::{Document, EngineSpec, Objective, ObjectiveKind, PolicyName};
 use rosethread_fakes::{EngineConfig, FakeEngine, FakeService};
 
 use crate::{Deployment, DeploymentSpec, DocumentBuilder, document::valid, quiet_logger};
@@ -36,10 +36,21 @@
     service: &'static str,
     members: &'static [&'static str],
     engine: EngineConfig,
+    base_port: Option<u16>,
 }
 
 /// Starts the Consortium's deployment.
 pub async fn consortium(scale: Scale, engine: EngineConfig, policy: PolicyName) -> Deploy {
+    consortium_at(None, scale, engine, policy).await
+}
+
+/// Starts the Consortium's deployment on a row of ports.
+pub async fn consortium_at(
+    base_port: Option<u16>,
+    scale: Scale,
+    engine: EngineConfig,
+    policy: PolicyName,
+) -> Deploy {
     let (nodes, engines, services) = match scale {
         Scale::Miniature => (4, 4, 3),
         Scale::Today => (10, 12, 11),
@@ -53,6 +64,7 @@
         service: "portal",
         members: &["lyra", "cygnus", "draco"],
         engine,
+        base_port,
     };
     start(&shape, policy).await
 }
@@ -72,6 +84,7 @@
         service: "encode",
         members: &["donau", "traun", "enns"],
         engine,
+        base_port: None,
     };
     start(&shape, policy).await
 }
@@ -80,6 +93,7 @@
     let zone = |index: usize| shape.zones[index % shape.zones.len()];
     let spec = DeploymentSpec {
         node_zones: (0..shape.nodes).map(|it| zone(it).to_owned()).collect(),
+        base_port: shape.base_port,
         period_ms: 200,
         logger: quiet_logger(),
     };
@@ -111,11 +125,28 @@
         let address = deployment.add_service(&name, service).await;
         builder = builder.service(&name, zone(index), address, shape.service, 8);
     }
-    let document = builder.build();
+    let mut document = builder.build();
+    document.objectives = objectives();
     deployment.publish(&document).await;
     Deploy { deployment, document, members: shape.members.to_vec() }
 }
 
+fn objectives() -> Vec<Objective> {
+    let objective = |name: &str, kind, threshold_ms, target| Objective {
+        name: name.to_owned(),
+        kind,
+        class: None,
+        threshold_ms,
+        target,
+    };
+    vec![
+        objective("first-token", ObjectiveKind::FirstToken, 600, 0.95),
+        objective("between-tokens", ObjectiveKind::BetweenTokens, 49, 0.95),
+        objective("program", ObjectiveKind::ProgramLatency, 10_000, 0.95),
+        objective("answered", ObjectiveKind::Refusals, 0, 0.99),
+    ]
+}
+
 fn engine_spec(shape: &Shape) -> EngineSpec {
     let step_s = shape.engine.step.as_secs_f64().max(0.000_1);
     EngineSpec {
