--- a/crates/rosethread_membership/src/wire.rs
+++ b/crates/rosethread_membership/src/wire.rs
@@ -7,8 +7,11 @@
 
 use crate::{Message, NodeState};
 
-/// The largest datagram, in bytes, which passes any usual network unfragmented.
-pub const MAX_DATAGRAM: usize = 1_400;
+/// The largest datagram, in bytes.
+///
+/// A node sends and receives about five a second each, so this keeps both directions together
+/// within 10 KB/s, and any usual network passes it unfragmented; see `docs/CAPACITY.md`.
+pub const MAX_DATAGRAM: usize = 900;
 
 /// The length of the authentication code, in bytes.
 const CODE_BYTES: usize = 16;
--- a/crates/rosethread_testbed/src/lib.rs
+++ b/crates/rosethread_testbed/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod scenario;
 mod stats;
+pub mod workload;
 
 pub use caller::{CallError, CallResult, Caller, CallerProgram};
 pub use deployment::{Deployment, DeploymentSpec, free_address, quiet_logger, terminal_logger};
--- /dev/null
+++ b/crates/rosethread_testbed/src/workload.rs
@@ -0,0 +1,399 @@
+//! A workload of agent programs on a paused clock, to compare policies.
+//!
+//! Programs arrive at random, have an unknown number of turns, pause for tools with a long tail,
+//! and keep their history; short pings arrive beside them. The same seed gives the same programs
+//! under every policy.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use rosethread_config::{Document, EngineSpec, PolicyName};
+use rosethread_fakes::{EngineConfig, prompt_with_length};
+use rosethread_membership::Contact;
+use rosethread_node::{Call, CallEvent, Close, Create, Work};
+use rosethread_platform::Clock;
+use rosethread_types::{MemberName, ProgramId, Refusal};
+use serde::Serialize;
+use serde_json::json;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::{
+    Cluster, ClusterSpec, DocumentBuilder, Latency, Summary, document::valid, memory::Network,
+};
+
+/// How long a caller goes on with one call.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// The deadline of one call.
+const DEADLINE_MS: u64 = 60_000;
+
+/// Tokens of the answer to a ping.
+const PING_TOKENS: u64 = 8;
+
+/// What one deployment's programs are like.
+#[derive(Clone, Copy, Debug)]
+pub struct Workload {
+    /// Nodes.
+    pub nodes: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Availability zones.
+    pub zones: &'static [&'static str],
+    /// Members, and the weights of their shares.
+    pub members: &'static [(&'static str, u32)],
+    /// Cache memory of one engine, in tokens.
+    pub memory: u64,
+    /// The mean number of turns.
+    pub turns: f64,
+    /// Tokens that each turn adds to the prompt.
+    pub input: u64,
+    /// The mean number of tokens of an answer.
+    pub output: u64,
+    /// The mean tool pause, in seconds.
+    pub pause_s: f64,
+}
+
+/// The Consortium's workload at today's size.
+pub const CONSORTIUM_TODAY: Workload = Workload {
+    nodes: 10,
+    engines: 12,
+    zones: &["north", "east", "west"],
+    members: &[("lyra", 1), ("cygnus", 2), ("draco", 1)],
+    memory: 24_000,
+    turns: 4.0,
+    input: 250,
+    output: 40,
+    pause_s: 1.5,
+};
+
+/// Trailerwerk's workload at today's size.
+pub const TRAILERWERK_TODAY: Workload = Workload {
+    nodes: 10,
+    engines: 9,
+    zones: &["linz-a", "linz-b", "linz-c", "linz-d"],
+    members: &[("donau", 1), ("traun", 2), ("enns", 1)],
+    memory: 48_000,
+    turns: 8.0,
+    input: 600,
+    output: 60,
+    pause_s: 3.0,
+};
+
+/// One run.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkloadRun {
+    /// What the programs are like.
+    pub workload: Workload,
+    /// The policy in force.
+    pub policy: PolicyName,
+    /// Offered work as a share of what the engines can do with every prefix cached.
+    pub load: f64,
+    /// How long programs arrive.
+    pub time: Duration,
+    /// The seed.
+    pub seed: u64,
+}
+
+/// What a run shows.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct WorkloadReport {
+    /// Programs that arrived.
+    pub arrived: u64,
+    /// Programs that finished.
+    pub finished: u64,
+    /// Sendings that were refused.
+    pub refused: u64,
+    /// Time from a program's first call to its last answer.
+    pub program: Summary,
+    /// The same without the tools' pauses: what the system is answerable for.
+    pub waiting: Summary,
+    /// Time of pings.
+    pub ping: Summary,
+    /// Prompt tokens found in caches, as a share of all.
+    pub hit_share: f64,
+    /// Cache filled and discarded unused, as a share of what was filled.
+    pub wasted_share: f64,
+    /// The smallest part of its fair share that any member got of finished programs.
+    pub least_share: f64,
+}
+
+#[derive(Default)]
+struct Tally {
+    finished: u64,
+    refused: u64,
+    program: Latency,
+    waiting: Latency,
+    ping: Latency,
+    by_member: BTreeMap<String, (u64, u64)>,
+}
+
+struct World {
+    network: Arc<Network>,
+    contacts: Vec<Contact>,
+    clock: Clock,
+    workload: Workload,
+    tally: Mutex<Tally>,
+}
+
+/// Runs a workload to its end on a paused clock.
+pub fn run_workload(run: WorkloadRun) -> WorkloadReport {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without I/O can be built");
+    runtime.block_on(simulate(run))
+}
+
+fn engine(workload: &Workload) -> EngineConfig {
+    EngineConfig { memory: workload.memory, ..EngineConfig::default() }
+}
+
+/// Returns the programs a second that engines can finish when every prefix is cached.
+fn capacity(workload: &Workload) -> f64 {
+    let engine = engine(workload);
+    let step_s = engine.step.as_secs_f64() + engine.sequence.as_secs_f64() * engine.slots as f64;
+    let decode_s = workload.output as f64 * step_s / engine.slots as f64;
+    let prefill_s = workload.input as f64 / f64::from(engine.prefill_rate);
+    workload.engines as f64 / (workload.turns * (decode_s + prefill_s))
+}
+
+async fn simulate(run: WorkloadRun) -> WorkloadReport {
+    let workload = run.workload;
+    let spec = ClusterSpec {
+        nodes: workload.nodes,
+        zones: workload.zones.to_vec(),
+        engines: vec![engine(&workload); workload.engines],
+        services: 0,
+        seed: run.seed,
+        idle: Duration::from_secs(600),
+        ..ClusterSpec::default()
+    };
+    let mut cluster = Cluster::start(spec);
+    cluster.publish(&document(&cluster, &workload, run.policy));
+    cluster.settle().await;
+    let world = Arc::new(World {
+        network: cluster.network.clone(),
+        contacts: (0..workload.nodes).map(|it| cluster.contact(it)).collect(),
+        clock: cluster.clock(),
+        workload,
+        tally: Mutex::default(),
+    });
+    let rate = capacity(&workload) * run.load;
+    let arrived = arrive(&world, rate, run).await;
+    report(&cluster, &world, arrived)
+}
+
+/// Starts programs at random times, and waits for all of them.
+async fn arrive(world: &Arc<World>, rate: f64, run: WorkloadRun) -> u64 {
+    let mut random = Pcg64::seed_from_u64(run.seed);
+    let start = Instant::now();
+    let mut at = Duration::ZERO;
+    let mut programs = Vec::new();
+    while at < run.time {
+        at += Duration::from_secs_f64(exponential(&mut random, 1.0 / rate));
+        sleep_until(start + at).await;
+        let (seed, is_ping) = (random.random(), random.random_range(0..10) == 0);
+        programs.push(tokio::spawn(run_program(world.clone(), seed, is_ping)));
+    }
+    let count = programs.len() as u64;
+    for program in programs {
+        program.await.expect("a caller does not panic");
+    }
+    count
+}
+
+fn exponential(random: &mut Pcg64, mean: f64) -> f64 {
+    -mean * (1.0 - random.random::<f64>()).ln()
+}
+
+fn document(cluster: &Cluster, workload: &Workload, policy: PolicyName) -> Document {
+    let engine = engine(workload);
+    let spec = EngineSpec {
+        models: vec![valid("m")],
+        slots: engine.slots as u32,
+        memory: engine.memory,
+        fencing: true,
+        prefill_rate: engine.prefill_rate,
+        decode_rate: 40,
+    };
+    let mut builder = DocumentBuilder::new().policy(policy);
+    for (member, share) in workload.members {
+        builder = builder.member(member, *share);
+    }
+    builder = builder
+        .class("ping", |it| {
+            it.priority = -1;
+            it.reserved = true;
+        })
+        .class("long", |it| {
+            it.tokens = 200_000;
+            it.block = 20_000;
+        });
+    for index in 0..workload.engines {
+        let zone = workload.zones[index % workload.zones.len()];
+        let address = Cluster::target_address(index);
+        builder = builder.engine(&format!("engine-{index}"), zone, address, spec.clone());
+    }
+    debug_assert_eq!(cluster.size(), workload.nodes);
+    builder.build()
+}
+
+async fn run_program(world: Arc<World>, seed: u64, is_ping: bool) {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let workload = world.workload;
+    let (member, _) = workload.members[random.random_range(0..workload.members.len())];
+    let turns = if is_ping { 1 } else { 1 + exponential(&mut random, workload.turns - 0.5) as u32 };
+    let start = Instant::now();
+    let mut paused = Duration::ZERO;
+    let Some((id, mut continuation)) = create(&world, &mut random, member, is_ping).await else {
+        return;
+    };
+    let mut last_answer = start;
+    for turn in 0..turns {
+        let tokens = if is_ping {
+            PING_TOKENS
+        } else {
+            1 + exponential(&mut random, workload.output as f64) as u64
+        };
+        let bytes = if is_ping { 40 } else { workload.input as usize * 4 };
+        let filler = "x".repeat(bytes);
+        let text = prompt_with_length(&format!("{id} {turn} {filler}"), tokens.min(400));
+        match call(&world, &mut random, &id, turn, &text, continuation).await {
+            Some(next) => continuation = next,
+            None => return,
+        }
+        last_answer = Instant::now();
+        if turn + 1 < turns {
+            // A long tail: one tool in ten takes ten times as long.
+            let factor = if random.random_range(0..10) == 0 { 10.0 } else { 1.0 };
+            let pause =
+                Duration::from_secs_f64(exponential(&mut random, workload.pause_s) * factor);
+            let pause = pause.min(Duration::from_secs(60));
+            paused += pause;
+            sleep(pause).await;
+        }
+    }
+    note(&world, member, is_ping, last_answer - start, paused);
+    let index = random.random_range(0..world.contacts.len());
+    let close = Close { program: id, continuation: Some(continuation), hops: 0 };
+    // A program that could not be closed ends by idle time.
+    let _ = world.network.close(&world.contacts[index], close).await;
+}
+
+fn note(world: &World, member: &str, is_ping: bool, latency: Duration, paused: Duration) {
+    let mut tally = world.tally.lock().expect("no caller panics");
+    if is_ping {
+        tally.ping.record(latency);
+        return;
+    }
+    tally.finished += 1;
+    tally.program.record(latency);
+    tally.waiting.record(latency.saturating_sub(paused));
+    tally.by_member.entry(member.to_owned()).or_default().1 += 1;
+}
+
+async fn create(
+    world: &World,
+    random: &mut Pcg64,
+    member: &str,
+    is_ping: bool,
+) -> Option<(ProgramId, String)> {
+    if !is_ping {
+        let mut tally = world.tally.lock().expect("no caller panics");
+        tally.by_member.entry(member.to_owned()).or_default().0 += 1;
+    }
+    let create = Create {
+        member: valid::<MemberName>(member),
+        class: valid(if is_ping { "ping" } else { "long" }),
+        model: valid("m"),
+        parent: None,
+        tokens: None,
+        calls: None,
+        wall_ms: None,
+        zone: None,
+        is_forwarded: false,
+    };
+    let contact = &world.contacts[random.random_range(0..world.contacts.len())];
+    let created = world.network.create(contact, create).await?.ok()?;
+    Some((created.program, created.continuation))
+}
+
+/// Makes one call, asking again when it is refused, and returns the next continuation.
+async fn call(
+    world: &World,
+    random: &mut Pcg64,
+    id: &ProgramId,
+    turn: u32,
+    text: &str,
+    continuation: String,
+) -> Option<String> {
+    let start = Instant::now();
+    let messages = json!([{"role": "user", "content": text}]).to_string();
+    let mut is_first = true;
+    while start.elapsed() < PATIENCE {
+        let call = Call {
+            program: id.clone(),
+            request: valid(&format!("r{turn}")),
+            turn,
+            work: Work::Model { messages: messages.clone(), max_tokens: Some(400) },
+            repeatable: true,
+            retry: !is_first,
+            deadline_ms: world.clock.now_ms() + DEADLINE_MS,
+            continuation: Some(continuation.clone()),
+            supplied: Vec::new(),
+            hops: 0,
+        };
+        is_first = false;
+        let contact = &world.contacts[random.random_range(0..world.contacts.len())];
+        let refusal = match finish(world, contact, call).await {
+            Ok(next) => return Some(next),
+            Err(refusal) => refusal,
+        };
+        world.tally.lock().expect("no caller panics").refused += 1;
+        let pause = refusal.and_then(|it| it.retry_after).unwrap_or(Duration::from_millis(200));
+        sleep(pause).await;
+    }
+    None
+}
+
+async fn finish(world: &World, contact: &Contact, call: Call) -> Result<String, Option<Refusal>> {
+    let mut stream = world.network.enter(contact, call).await.ok_or(None)?;
+    while let Some(event) = stream.recv().await {
+        match event {
+            CallEvent::Text(_) => (),
+            CallEvent::Done(answer) => return Ok(answer.continuation),
+            CallEvent::Refused(refusal) => return Err(Some(refusal)),
+        }
+    }
+    Err(None)
+}
+
+fn report(cluster: &Cluster, world: &World, arrived: u64) -> WorkloadReport {
+    let tally = world.tally.lock().expect("no caller panics");
+    let (mut wasted, mut hits, mut misses) = (0, 0, 0);
+    for engine in cluster.targets.engines() {
+        let load = engine.true_load();
+        wasted += load.wasted;
+        hits += load.hits;
+        misses += load.misses;
+    }
+    let share = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
+    let shares = tally.by_member.values().map(|(arrived, finished)| share(*finished, *arrived));
+    WorkloadReport {
+        arrived,
+        finished: tally.finished,
+        refused: tally.refused,
+        program: tally.program.summary(),
+        waiting: tally.waiting.summary(),
+        ping: tally.ping.summary(),
+        hit_share: share(hits, hits + misses),
+        wasted_share: share(wasted, misses),
+        least_share: shares.fold(1.0, f64::min),
+    }
+}
