Placement keeps programs with their cache; no slot stands empty for pings

A move saved a short wait and cost the cache; the refill evicted others, which moved too (hits 47%, waste 33%). New programs herded to the target that looked idle some 100 ms ago. A slot in eight stood empty for pings.

Change: abandoned cache weighs 10 s per 1,000 tokens by default (was 0.1); new programs go to the lighter of two drawn targets; reserved classes may go one call in ten past a target's slots, since the engine's own queue honours priorities; calls go in order of waiting within shares.

--- a/crates/rosethread_config/src/document.rs
+++ b/crates/rosethread_config/src/document.rs
@@ -234,10 +234,10 @@
     #[serde(default)]
     pub reserved: bool,
     /// The weight of a second of latency in decisions.
-    #[serde(default = "default_weight")]
+    #[serde(default = "default_latency_weight")]
     pub latency_weight: f64,
     /// The weight of a thousand wasted cache tokens in decisions.
-    #[serde(default = "default_weight")]
+    #[serde(default = "default_waste_weight")]
     pub waste_weight: f64,
 }
 
@@ -260,10 +260,14 @@
     2
 }
 
-fn default_weight() -> f64 {
+fn default_latency_weight() -> f64 {
     1.0
 }
 
+fn default_waste_weight() -> f64 {
+    10.0
+}
+
 /// Who keeps a program's history for the time after its owner's loss.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/rosethread_node/src/dispatch/slots.rs
+++ b/crates/rosethread_node/src/dispatch/slots.rs
@@ -21,8 +21,6 @@
     pub priority: i32,
     /// Whether the class has reserved slots.
     pub reserved: bool,
-    /// Tokens of service that the program has received.
-    pub attained: u64,
     /// Tokens that the call is expected to cost.
     pub tokens: u64,
 }
@@ -95,13 +93,12 @@
         let mut state = self.state();
         let state = &mut *state;
         state.waiting.retain(|it| !it.grant.is_closed());
-        let free = state.slots.saturating_sub(state.running);
-        if free == 0 || state.waiting.is_empty() {
+        if state.waiting.is_empty() {
             return None;
         }
         let now = Instant::now();
         let waiting: Vec<Waiting> = state.waiting.iter().map(|it| it.describe(now)).collect();
-        let index = pick(state.strategy, &waiting, &state.shares, free, state.slots)?;
+        let index = pick(state.strategy, &waiting, &state.shares, state.running, state.slots)?;
         let waiter = state.waiting.remove(index);
         let ticket = &waiter.ticket;
         state.shares.advance(&ticket.member);
@@ -122,7 +119,6 @@
             member: self.ticket.member.clone(),
             priority: self.ticket.priority,
             reserved: self.ticket.reserved,
-            attained: self.ticket.attained,
             waited_s: (now - self.since).max(Duration::ZERO).as_secs_f64(),
         }
     }
--- a/crates/rosethread_node/src/owner/run.rs
+++ b/crates/rosethread_node/src/owner/run.rs
@@ -293,7 +293,6 @@
         share,
         priority: class.priority,
         reserved: class.reserved,
-        attained: owned.lock().program.account.spent,
         tokens: bounded.head.worst,
     }
 }
--- a/crates/rosethread_policy/src/order.rs
+++ b/crates/rosethread_policy/src/order.rs
@@ -1,22 +1,20 @@
 //! Which waiting call goes to a target next.
 //!
-//! Within weighted fair shares between members, the program that has received the least service
-//! goes first, since the length of programs is not known in advance and short ones then finish
-//! early. Waiting counts in a call's favour, so none starves. Classes with reserved slots keep a
-//! share of the target to themselves, so a short call never waits behind long ones.
+//! Within weighted fair shares between members, the call that has waited longest goes first. Least
+//! attained service was tried and taken out: it keeps more programs under way at once, whose caches
+//! evict each other (`docs/design/decisions.md`). Classes with reserved slots may go past the
+//! target's batch: the target's own queue honours priorities, so such a call gets the next free
+//! place, and no slot has to stand empty for it.
 
-use std::collections::BTreeMap;
+use std::{cmp::Ordering, collections::BTreeMap};
 
 use rosethread_types::MemberName;
 
 use crate::Strategy;
 
-/// The share of a target's slots that only reserved classes may use.
+/// The calls of reserved classes that may go past a target's slots, as a share of these.
 const RESERVED_SHARE: f64 = 0.1;
 
-/// The tokens of attained service that a second of waiting makes up for.
-const AGEING_TOKENS_PER_S: f64 = 2_000.0;
-
 /// A call that waits for a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Waiting {
@@ -26,8 +24,6 @@
     pub priority: i32,
     /// Whether its class has reserved slots.
     pub reserved: bool,
-    /// Tokens of service that its program has received.
-    pub attained: u64,
     /// How long it has waited, in seconds.
     pub waited_s: f64,
 }
@@ -63,46 +59,37 @@
     }
 }
 
-/// Chooses the next call, by its position in `waiting`, for a target with `free` of `slots` free.
+/// Chooses the next call, by its position in `waiting`, for a target that works on `running` calls.
 ///
-/// Returns nothing if no call may go: the last slots are kept for reserved classes.
+/// Returns nothing if no call may go.
 pub fn pick(
     strategy: Strategy,
     waiting: &[Waiting],
     shares: &Shares,
-    free: u32,
+    running: u32,
     slots: u32,
 ) -> Option<usize> {
-    if free == 0 {
-        return None;
-    }
+    let has_slot = running < slots;
     if strategy != Strategy::Adaptive {
         let by_wait = |it: &(usize, &Waiting)| it.1.waited_s;
         let first = waiting.iter().enumerate().max_by(|a, b| by_wait(a).total_cmp(&by_wait(b)));
-        return first.map(|(index, _)| index);
+        return first.map(|(index, _)| index).filter(|_| has_slot);
     }
-    let kept = reserved_slots(slots);
-    let eligible = waiting.iter().enumerate().filter(|(_, it)| it.reserved || kept < free);
+    let has_reserved = running < slots + reserved_slots(slots);
+    let may_go = |it: &Waiting| if it.reserved { has_reserved } else { has_slot };
+    let eligible = waiting.iter().enumerate().filter(|(_, it)| may_go(it));
     let best = eligible.min_by(|(_, a), (_, b)| compare(shares, a, b));
     best.map(|(index, _)| index)
 }
 
-/// Returns the slots of a target that only reserved classes may use.
+/// Returns the calls of reserved classes that may go past a target's slots.
 fn reserved_slots(slots: u32) -> u32 {
-    if slots < 2 {
-        return 0;
-    }
-    ((f64::from(slots) * RESERVED_SHARE).ceil() as u32).min(slots - 1)
+    (f64::from(slots) * RESERVED_SHARE).ceil() as u32
 }
 
-fn compare(shares: &Shares, a: &Waiting, b: &Waiting) -> std::cmp::Ordering {
+fn compare(shares: &Shares, a: &Waiting, b: &Waiting) -> Ordering {
     let by_class = (!a.reserved, a.priority).cmp(&(!b.reserved, b.priority));
     by_class
         .then_with(|| shares.level(&a.member).total_cmp(&shares.level(&b.member)))
-        .then_with(|| urgency(a).total_cmp(&urgency(b)))
-}
-
-/// Returns the attained service of a call's program, less what its waiting makes up for.
-fn urgency(it: &Waiting) -> f64 {
-    it.attained as f64 - it.waited_s * AGEING_TOKENS_PER_S
+        .then_with(|| b.waited_s.total_cmp(&a.waited_s))
 }
--- a/crates/rosethread_policy/src/place.rs
+++ b/crates/rosethread_policy/src/place.rs
@@ -1,8 +1,9 @@
 //! Which target serves a call.
 //!
 //! The cost of a candidate is expected latency plus wasted cache, in one currency. Waiting is
-//! estimated from the owner's own count of calls, never from a target's lagging report alone;
-//! the prefill of the uncached prefix is what a move away from the cache costs.
+//! estimated from the owner's own count of calls, never from a target's lagging report alone. A
+//! program under way stays with its cache until the wait there is long: a move fills other memory,
+//! whose eviction moves more programs. New programs go to the lighter of two targets.
 
 use crate::Strategy;
 
@@ -36,7 +37,7 @@
     pub prompt: u64,
     /// The position of the program's last target among the candidates.
     pub home: Option<usize>,
-    /// A number that rises with each placement, for taking turns.
+    /// A random number, for drawing targets and for taking turns.
     pub turn: usize,
 }
 
@@ -51,7 +52,7 @@
 
 impl Default for Weights {
     fn default() -> Weights {
-        Weights { latency: 1.0, waste: 0.1 }
+        Weights { latency: 1.0, waste: 10.0 }
     }
 }
 
@@ -73,6 +74,10 @@
 ) -> Option<Placement> {
     let usable = candidates.iter().enumerate().filter(|(_, it)| !it.is_broken);
     match strategy {
+        Strategy::Adaptive if candidates.iter().all(|it| it.cached == 0) => {
+            let usable: Vec<(usize, &Candidate)> = usable.collect();
+            lighter_of_two(&usable, request.turn)
+        }
         Strategy::Adaptive => {
             let best_cached = candidates.iter().map(|it| it.cached).max().unwrap_or(0);
             let cost = |it: &Candidate| cost(it, request, weights, best_cached);
@@ -96,6 +101,23 @@
     }
 }
 
+/// Draws two targets and chooses the one with less work for its slots.
+///
+/// A new program has no cache to follow, and the loads that nodes know are some hundred
+/// milliseconds old: the best target by them would attract all programs of that time.
+fn lighter_of_two(usable: &[(usize, &Candidate)], random: usize) -> Option<Placement> {
+    let count = usable.len();
+    if count == 0 {
+        return None;
+    }
+    let draw = [usable[random % count], usable[random / count % count]];
+    let work = |it: &Candidate| {
+        f64::from(it.running + it.waiting) / f64::from(it.slots.max(1)) + it.distance_s
+    };
+    let (index, _) = draw.into_iter().min_by(|a, b| work(a.1).total_cmp(&work(b.1)))?;
+    Some(Placement { index, cost: 0.0 })
+}
+
 fn least_loaded<'a>(usable: impl Iterator<Item = (usize, &'a Candidate)>) -> Option<Placement> {
     let (index, _) = usable.min_by_key(|(_, it)| it.running + it.waiting)?;
     Some(Placement { index, cost: 0.0 })
--- a/crates/rosethread_testbed/src/document.rs
+++ b/crates/rosethread_testbed/src/document.rs
@@ -62,7 +62,7 @@
             retries: 3,
             reserved: false,
             latency_weight: 1.0,
-            waste_weight: 0.1,
+            waste_weight: 10.0,
         };
         adjust(&mut class);
         self.document.classes.push(class);
