--- a/crates/rosethread_testbed/examples/slopes.rs
+++ b/crates/rosethread_testbed/examples/slopes.rs
@@ -341,7 +341,7 @@
     say("== decisions")?;
     let mut placing = Vec::new();
     for n in [5_usize, 50, 500] {
-        let candidates = vec![
+        let mut candidates = vec![
             Candidate {
                 slots: 8,
                 running: 4,
@@ -351,6 +351,8 @@
             };
             n
         ];
+        // A program under way, whose home caches its history.
+        candidates[0].cached = 9_000;
         let request = Request { prompt: 10_000, home: None, turn: 1 };
         let us = time_of(20_000, |_| {
             || {
