--- a/crates/rosethread_testbed/src/memory/network.rs
+++ b/crates/rosethread_testbed/src/memory/network.rs
@@ -12,7 +12,8 @@
 use rand_pcg::Pcg64;
 use rosethread_membership::Contact;
 use rosethread_node::{
-    Call, CallStream, Datagrams, NodeHandle, PeerError, PeerReply, PeerRequest, Peers, Tasks,
+    Call, CallEvent, CallStream, Datagrams, NodeHandle, PeerError, PeerReply, PeerRequest, Peers,
+    Tasks,
 };
 use tokio::{
     sync::{Notify, mpsc, oneshot},
@@ -189,25 +190,41 @@
         let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
         let (network, own, to) = (self.network.clone(), self.own.clone(), to.clone());
         tasks.spawn(async move {
-            let link = Link::new(network, own);
-            let mut stream = handle.call(call).await;
-            loop {
-                let event = tokio::select! {
-                    biased;
-                    () = sender.closed() => return,
-                    event = stream.next() => event,
-                };
-                let Some(event) = event else { return };
-                sleep(DELAY).await;
-                if !link.is_connected(&to) || sender.send(event).await.is_err() {
-                    return;
-                }
-            }
+            let way = Way { link: Link::new(network, own), to };
+            pump(handle, call, sender, Some(way)).await;
         });
         Ok(CallStream::Channel(receiver))
     }
 }
 
+/// The way that a stream takes between two nodes.
+struct Way {
+    link: Link,
+    to: Contact,
+}
+
+/// Carries a call's events to whoever reads them, until the reader goes or the way is cut.
+async fn pump(handle: NodeHandle, call: Call, sender: mpsc::Sender<CallEvent>, way: Option<Way>) {
+    let mut stream = handle.call(call).await;
+    loop {
+        let event = tokio::select! {
+            biased;
+            () = sender.closed() => return,
+            event = stream.next() => event,
+        };
+        let Some(event) = event else { return };
+        if let Some(way) = &way {
+            sleep(DELAY).await;
+            if !way.link.is_connected(&way.to) {
+                return;
+            }
+        }
+        if sender.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
 #[async_trait]
 impl Datagrams for Link {
     async fn send(&self, to: SocketAddr, bytes: Vec<u8>) {
@@ -280,11 +297,7 @@
     }
 
     /// Makes a call as a caller does; returns nothing if the node cannot be reached.
-    pub async fn enter(
-        &self,
-        to: &Contact,
-        call: Call,
-    ) -> Option<mpsc::Receiver<rosethread_node::CallEvent>> {
+    pub async fn enter(&self, to: &Contact, call: Call) -> Option<mpsc::Receiver<CallEvent>> {
         sleep(DELAY).await;
         let (handle, tasks) = {
             let state = self.state();
@@ -292,20 +305,7 @@
             (station.handle.clone(), station.tasks.clone())
         };
         let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
-        tasks.spawn(async move {
-            let mut stream = handle.call(call).await;
-            loop {
-                let event = tokio::select! {
-                    biased;
-                    () = sender.closed() => return,
-                    event = stream.next() => event,
-                };
-                let Some(event) = event else { return };
-                if sender.send(event).await.is_err() {
-                    return;
-                }
-            }
-        });
+        tasks.spawn(pump(handle, call, sender, None));
         Some(receiver)
     }
 }
