--- a/crates/rosethread_node/src/args.rs
+++ b/crates/rosethread/src/args.rs
@@ -5,6 +5,9 @@
 
 use crate::logging::Format;
 
+/// The environment variable that holds the path of the settings on the users' platform.
+const SETTINGS_VARIABLE: &str = "ROSETHREAD_SETTINGS";
+
 /// What the process is asked to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Action {
@@ -22,14 +25,19 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Args {
     pub(crate) action: Action,
+    /// The path of the settings file.
     pub(crate) settings: Option<String>,
+    /// Whether to serve on the users' platform.
+    pub(crate) platform: bool,
     pub(crate) level: Level,
     pub(crate) format: Format,
 }
 
 fn options() -> Options {
     let mut options = Options::new();
-    options.optopt("s", "settings", "the settings file, in TOML", "FILE");
+    let usage = "the settings file, in TOML (with --platform: $ROSETHREAD_SETTINGS)";
+    options.optopt("s", "settings", usage, "FILE");
+    options.optflag("p", "platform", "serve calls through routes, on the users' platform");
     options.optflag("c", "check", "check the settings and exit");
     options.optopt("l", "log-level", "error, warning, info or debug (info)", "LEVEL");
     options.optopt("f", "log-format", "terminal or json (terminal)", "FORMAT");
@@ -77,6 +85,9 @@
                 return Err(format!("--log-format = {other}: must be terminal or json"));
             }
         };
-        Ok(Args { action, settings: matches.opt_str("settings"), level, format })
+        let platform = matches.opt_present("platform");
+        let from_environment = || std::env::var(SETTINGS_VARIABLE).ok().filter(|_| platform);
+        let settings = matches.opt_str("settings").or_else(from_environment);
+        Ok(Args { action, settings, platform, level, format })
     }
 }
--- a/crates/rosethread_node/src/logging.rs
+++ b/crates/rosethread/src/logging.rs
@@ -1,9 +1,12 @@
-//! Logs of the node process, on standard error.
+//! Logs of the node process, on standard output.
 
 use std::{io, sync::Mutex};
 
 use slog::{Drain, Level, Logger, o};
 
+/// Lines that wait to be written before further ones are dropped and counted.
+const BUFFERED_LINES: usize = 2_048;
+
 /// The form of the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Format {
@@ -20,12 +23,12 @@
 pub(crate) fn logger(level: Level, format: Format) -> Logger {
     match format {
         Format::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let decorator = slog_term::TermDecorator::new().stdout().build();
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
             build(level, drain)
         }
         Format::Json => {
-            let drain = slog_json::Json::default(io::stderr()).map(Mutex::new).fuse();
+            let drain = slog_json::Json::default(io::stdout()).map(Mutex::new).fuse();
             build(level, drain)
         }
     }
@@ -35,6 +38,11 @@
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let drain = slog_async::Async::new(drain).build().filter_level(level).fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(BUFFERED_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .filter_level(level)
+        .fuse();
     Logger::root(drain, o!())
 }
--- /dev/null
+++ b/crates/rosethread/src/main.rs
@@ -0,0 +1,151 @@
+//! The `rosethread` process: reads its settings, serves, and drains when told to stop.
+//!
+//! It runs on the users' platform with `--platform`, and on its own interfaces otherwise.
+
+mod args;
+mod logging;
+
+use std::{
+    fmt::Display,
+    io::{self, Write},
+    process::ExitCode,
+};
+
+use rosethread_adapter::AdapterProcess;
+use rosethread_config::{Problems, Settings};
+use rosethread_entry::EntrySettings;
+use rosethread_node::NodeProcess;
+use slog::{Logger, error, info};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::args::{Action, Args};
+
+fn main() -> ExitCode {
+    let args = match Args::parse(std::env::args().skip(1)) {
+        Ok(args) => args,
+        Err(error) => return fail(&error),
+    };
+    match args.action {
+        Action::Help => print(&args::usage()),
+        Action::Version => print(&format!("rosethread {}\n", env!("CARGO_PKG_VERSION"))),
+        Action::Check => check(&args),
+        Action::Serve if args.platform => match load(&args, EntrySettings::parse) {
+            Ok(settings) => serve_platform(settings, &args),
+            Err(error) => fail(&error),
+        },
+        Action::Serve => match load(&args, Settings::parse) {
+            Ok(settings) => serve(settings, &args),
+            Err(error) => fail(&error),
+        },
+    }
+}
+
+fn print(text: &str) -> ExitCode {
+    match io::stdout().write_all(text.as_bytes()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(_) => ExitCode::FAILURE,
+    }
+}
+
+fn fail(text: &dyn Display) -> ExitCode {
+    // Nothing is left to do if the error cannot be shown.
+    let _ = writeln!(io::stderr(), "rosethread: {text}");
+    ExitCode::FAILURE
+}
+
+fn check(args: &Args) -> ExitCode {
+    let result = if args.platform {
+        load(args, EntrySettings::parse).map(drop)
+    } else {
+        load(args, Settings::parse).map(drop)
+    };
+    match result {
+        Ok(()) => print("the settings are valid\n"),
+        Err(error) => fail(&error),
+    }
+}
+
+fn load<T>(args: &Args, parse: impl FnOnce(&str) -> Result<T, Problems>) -> Result<T, String> {
+    let path = args.settings.as_deref().ok_or("--settings FILE is missing")?;
+    let text = std::fs::read_to_string(path).map_err(|it| format!("{path}: {it}"))?;
+    parse(&text).map_err(|it| format!("{path}:\n{it}"))
+}
+
+fn serve(settings: Settings, args: &Args) -> ExitCode {
+    let logger = logging::logger(args.level, args.format);
+    let workers = std::thread::available_parallelism().map_or(1, usize::from);
+    let process = match NodeProcess::start(settings, logger.clone(), workers) {
+        Ok(process) => process,
+        Err(error) => return fail(&error),
+    };
+    let stop = async { Stop::new()?.wait(logger).await };
+    if let Err(error) = process.runtime().block_on(stop) {
+        return fail(&format!("signals cannot be received: {error}"));
+    }
+    process.drain();
+    ExitCode::SUCCESS
+}
+
+fn serve_platform(settings: EntrySettings, args: &Args) -> ExitCode {
+    let logger = logging::logger(args.level, args.format);
+    let process = match AdapterProcess::start(settings, logger.clone()) {
+        Ok(process) => process,
+        Err(error) => return fail(&error),
+    };
+    process.run_until(async {
+        match Stop::new() {
+            Ok(stop) => {
+                // The only error would be one of the settings file, which is not fatal.
+                let _ = stop.wait(logger).await;
+            }
+            Err(error) => {
+                error!(logger, "process: signals cannot be received"; "error" => %error);
+            }
+        }
+    });
+    ExitCode::SUCCESS
+}
+
+/// The signals that the process listens to.
+struct Stop {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Stop {
+    fn new() -> io::Result<Stop> {
+        Ok(Stop {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for the first signal to stop; later ones change nothing, so that no stream is cut.
+    async fn wait(mut self, logger: Logger) -> io::Result<()> {
+        loop {
+            tokio::select! {
+                biased;
+                _ = self.terminate.recv() => break,
+                _ = self.interrupt.recv() => break,
+                _ = self.reload.recv() => {
+                    info!(logger, "process: told to reload; settings are read at the next start");
+                }
+            }
+        }
+        info!(logger, "process: told to stop");
+        tokio::spawn(async move {
+            // The handlers stay in place until the drain ends, and swallow further signals.
+            loop {
+                tokio::select! {
+                    biased;
+                    _ = self.terminate.recv() => (),
+                    _ = self.interrupt.recv() => (),
+                    _ = self.reload.recv() => (),
+                }
+            }
+        });
+        Ok(())
+    }
+}
--- a/crates/rosethread_config/src/problem.rs
+++ b/crates/rosethread_config/src/problem.rs
@@ -25,7 +25,7 @@
 
 impl Problems {
     /// Adds a finding unless `holds`.
-    pub(crate) fn require(
+    pub fn require(
         &mut self,
         holds: bool,
         field: impl Into<String>,
@@ -40,12 +40,12 @@
     }
 
     /// Returns `value`, or the findings if there are any.
-    pub(crate) fn into_result<T>(self, value: T) -> Result<T, Problems> {
+    pub fn into_result<T>(self, value: T) -> Result<T, Problems> {
         if self.0.is_empty() { Ok(value) } else { Err(self) }
     }
 
     /// Returns the single finding that the text is not in the expected form.
-    pub(crate) fn of_syntax(error: &toml::de::Error) -> Problems {
+    pub fn of_syntax(error: &toml::de::Error) -> Problems {
         let rule = error.to_string().trim().to_owned();
         let field = "document".to_owned();
         Problems(vec![Problem { field, value: "text".to_owned(), rule }])
--- /dev/null
+++ b/crates/rosethread_entry/src/call.rs
@@ -0,0 +1,190 @@
+//! One call from its arrival to its answer.
+
+mod dispatch;
+mod job;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use rosethread_types::{
+    Outcome, ProgramLabel, PromptPart, Reason, Refusal, RequestId, SessionLabel, Tokens,
+};
+use slog::info;
+use tokio::{sync::mpsc, time::Instant};
+
+use crate::{
+    entry::Entry,
+    ports::Reply,
+    stream::{self, Interrupted},
+};
+
+pub(crate) use dispatch::{Sent, Tries, dispatch};
+pub(crate) use job::Job;
+
+/// The largest answer that is read whole before it is passed on, in bytes.
+const MAX_WHOLE: usize = 4 << 20;
+
+/// The size of a prompt and of its answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptShape {
+    /// The parts of the prompt in order, with their tokens.
+    pub parts: Vec<(PromptPart, Tokens)>,
+    /// The tokens of the prompt, where the parts do not say.
+    pub input: Tokens,
+    /// The most tokens to generate.
+    pub output: Tokens,
+}
+
+impl PromptShape {
+    /// Returns the tokens of the whole prompt.
+    pub fn tokens(&self) -> Tokens {
+        self.input.max(self.parts.iter().map(|it| it.1).sum())
+    }
+}
+
+/// The program that a call belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProgramTag {
+    /// The program.
+    pub program: ProgramLabel,
+    /// The line of turns within it.
+    pub session: SessionLabel,
+    /// The time until the program should be finished.
+    pub finish: Option<Duration>,
+    /// The tokens that all turns of the program may generate.
+    pub budget: Option<Tokens>,
+}
+
+/// One call as it arrived.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The caller's identifier of this attempt.
+    pub id: RequestId,
+    /// The HTTP method.
+    pub method: Method,
+    /// The host that it is for.
+    pub host: Arc<str>,
+    /// The path with its query.
+    pub path: Arc<str>,
+    /// The headers that go on to the target.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// The time that the caller waits.
+    pub time: Option<Duration>,
+    /// The number of the last event that the caller has.
+    pub resume_after: Option<u64>,
+    /// The size of its prompt, if it has one.
+    pub prompt: Option<PromptShape>,
+    /// The program that it belongs to, if any.
+    pub program: Option<ProgramTag>,
+    /// The turn that it continues, where the system keeps what was said.
+    pub previous: Option<RequestId>,
+}
+
+/// The answer of a target.
+#[derive(Debug)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: AnswerBody,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Its events as they come; an error means that the rest will not come.
+    Stream(mpsc::Receiver<Result<Bytes, Interrupted>>),
+}
+
+impl Entry {
+    /// Serves a call.
+    ///
+    /// Dropping the future gives the call up and tells the target to stop.
+    pub async fn serve(self: &Arc<Entry>, call: Call) -> Result<Answer, Refusal> {
+        let _guard = self.count_call();
+        let (id, arrived, program) = (call.id.clone(), call.arrived, call.program.clone());
+        let result = run(self, call).await;
+        if let Err(refusal) = &result {
+            let program = program.as_ref().map_or("", |it| it.program.as_str());
+            log_refusal(self, &id, program, arrived, refusal);
+        }
+        result
+    }
+}
+
+fn log_refusal(entry: &Entry, id: &RequestId, program: &str, arrived: Instant, refusal: &Refusal) {
+    let outcome = match refusal.outcome {
+        Outcome::NotRun => "not-run",
+        Outcome::Failed => "failed",
+        Outcome::Unknown => "unknown",
+    };
+    let time = arrived.elapsed();
+    entry.metrics.observe_call("refused", outcome, time);
+    info!(entry.logger, "call: refused"; "id" => %id, "program" => program, "outcome" => outcome,
+        "reason" => refusal.reason.code(), "detail" => &refusal.detail,
+        "retry_after_ms" => refusal.retry_after.map_or(0, |it| it.as_millis() as u64),
+        "ms" => time.as_millis() as u64, "routes" => entry.routes().revision.0,
+        "targets_age_ms" => entry.targets_age().as_millis() as u64);
+}
+
+async fn run(entry: &Arc<Entry>, call: Call) -> Result<Answer, Refusal> {
+    let job = Arc::new(Job::prepare(entry, call).await?);
+    let mut tries = Tries::default();
+    loop {
+        let sent = dispatch(&job, &mut tries, job.call.resume_after).await?;
+        if sent.reply.is_stream && sent.reply.status == 200 {
+            return stream::open(job, tries, sent).await;
+        }
+        let (status, headers) = (sent.reply.status, sent.reply.headers.clone());
+        let target = sent.target.name.clone();
+        match read_whole(&job, sent).await {
+            Ok(body) => {
+                job.log_end("answered", status, &target, &tries, None);
+                return Ok(Answer { status, headers, body: AnswerBody::Whole(body) });
+            }
+            Err(detail) => tries.may_retry(&job, target, &detail)?,
+        }
+    }
+}
+
+/// Reads a whole body, so that a broken one is noticed before the caller sees any of it.
+async fn read_whole(job: &Job, mut sent: Sent) -> Result<Bytes, String> {
+    use futures::StreamExt;
+    let Reply { body, .. } = &mut sent.reply;
+    let mut whole = bytes::BytesMut::new();
+    loop {
+        let chunk = tokio::time::timeout_at(job.deadline, body.next()).await;
+        match chunk {
+            Ok(Some(Ok(bytes))) if whole.len() + bytes.len() <= MAX_WHOLE => {
+                whole.extend_from_slice(&bytes);
+            }
+            Ok(Some(Ok(_))) => return Err("the answer is too large".to_owned()),
+            Ok(Some(Err(error))) => {
+                sent.underway.fail(job.entry.now());
+                return Err(error);
+            }
+            Ok(None) => {
+                sent.underway.succeed();
+                return Ok(whole.freeze());
+            }
+            Err(_) => {
+                sent.underway.fail(job.entry.now());
+                return Err("the answer did not end before the deadline".to_owned());
+            }
+        }
+    }
+}
+
+/// Returns the refusal of a call that may have run.
+pub(crate) fn may_have_run(is_repeatable: bool, reason: Reason, detail: String) -> Refusal {
+    if is_repeatable { Refusal::failed(reason, detail) } else { Refusal::unknown(reason, detail) }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -0,0 +1,262 @@
+//! What is settled about a call before it goes to a target: route, deadline, history and budget.
+
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicU64, Ordering},
+};
+
+use bytes::{Bytes, BytesMut};
+use rosethread_types::{Reason, Refusal, ServiceName, TargetName, Tokens};
+use slog::info;
+use std::time::Duration;
+use tokio::time::Instant;
+
+use crate::{
+    call::{Call, ProgramTag, Tries},
+    entry::Entry,
+    grants, history,
+    ledger::{Ask, Settlement, Verdict},
+    routes::{Route, Routes},
+    shards::shard_of,
+};
+
+/// What callers are told to wait until a host that has just started knows its routes.
+const ROUTES_RETRY: Duration = Duration::from_millis(500);
+
+/// What callers are told to wait until an account is known exactly again.
+const UNCERTAIN_RETRY: Duration = Duration::from_secs(1);
+
+/// The longest time for a call without a deadline of its own.
+const LONGEST: Duration = Duration::from_secs(600);
+
+/// The lowest rank that an engine knows.
+const LAST_RANK: u8 = 9;
+
+/// A call with everything that has been decided about it.
+pub(crate) struct Job {
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) call: Call,
+    pub(crate) route: Arc<Route>,
+    pub(crate) routes: Arc<Routes>,
+    pub(crate) service: ServiceName,
+    pub(crate) deadline: Instant,
+    /// The body for the target: all that was said before, and the call's own.
+    pub(crate) body: Bytes,
+    /// The shard of the call's program; zero without one.
+    pub(crate) shard: u32,
+    /// The target that most likely caches the prompt.
+    pub(crate) home: Option<TargetName>,
+    pub(crate) rank: u8,
+    grant: Option<Grant>,
+}
+
+impl Job {
+    /// Decides what has to be decided before a target is chosen, or refuses the call.
+    pub(crate) async fn prepare(entry: &Arc<Entry>, call: Call) -> Result<Job, Refusal> {
+        let routes = entry.routes();
+        if routes.revision.0 == 0 {
+            let detail = "no routes are known yet";
+            return Err(Refusal::not_run(Reason::NoDocument, detail).retry_after(ROUTES_RETRY));
+        }
+        let path = call.path.split('?').next().unwrap_or_default();
+        let Some(route) = routes.find(&call.host, path).cloned() else {
+            let detail = format!("no route matches {} {path}", call.host);
+            return Err(Refusal::not_run(Reason::UnknownRoute, detail));
+        };
+        let Some(service) = route.service(entry.random.bits()).cloned() else {
+            let detail = format!("route {} names no service", route.name);
+            return Err(Refusal::not_run(Reason::NoTarget, detail));
+        };
+        let time = call.time.unwrap_or(LONGEST).min(route.timeout);
+        let deadline = call.arrived + time;
+        let shard = call.program.as_ref().map_or(0, |it| shard_of(entry, &it.program));
+        let body = whole_body(entry, &call, &route, shard, deadline).await?;
+        let admitted = admit(entry, &call, &route, shard, deadline).await?;
+        Ok(Job {
+            entry: entry.clone(),
+            rank: rank(&route, admitted.underway),
+            home: admitted.home,
+            grant: admitted.grant,
+            call,
+            route,
+            routes,
+            service,
+            deadline,
+            body,
+            shard,
+        })
+    }
+
+    /// Returns the time that is left.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the tokens in one event of the service's streams.
+    pub(crate) fn event_tokens(&self) -> Tokens {
+        let service = self.routes.services.get(&self.service);
+        service.and_then(|it| it.engine).map_or(1, |it| it.event_tokens)
+    }
+
+    /// Counts tokens that have been handed to the caller.
+    pub(crate) fn count_tokens(&self, tokens: Tokens) {
+        if let Some(grant) = &self.grant {
+            grant.used.fetch_add(tokens, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes note of the target that runs the call.
+    pub(crate) fn set_target(&self, target: &TargetName) {
+        if let Some(grant) = &self.grant {
+            *grant.target.lock().expect("no holder of the target panics") = Some(target.clone());
+        }
+    }
+
+    /// Logs and counts the end of a call that reached a target.
+    pub(crate) fn log_end(
+        &self,
+        outcome: &str,
+        status: u16,
+        target: &TargetName,
+        tries: &Tries,
+        first: Option<Duration>,
+    ) {
+        let (entry, call) = (&self.entry, &self.call);
+        let kind = if self.route.is_stream() { "stream" } else { "whole" };
+        let time = call.arrived.elapsed();
+        entry.metrics.observe_call(kind, outcome, time);
+        if let Some(first) = first {
+            entry.metrics.first_seconds.observe(first.as_secs_f64());
+        }
+        let program = call.program.as_ref().map_or("", |it| it.program.as_str());
+        info!(entry.logger, "call: ended"; "id" => %call.id, "program" => program,
+            "route" => &*self.route.name, "routes" => self.routes.revision.0,
+            "target" => %target, "home" => self.home.as_ref().map_or("", |it| it.as_str()),
+            "outcome" => outcome, "status" => status, "sends" => tries.sends, "rank" => self.rank,
+            "tokens" => self.grant.as_ref().map_or(0, Grant::used),
+            "granted" => self.grant.as_ref().map_or(0, |it| it.tokens),
+            "first_ms" => first.map_or(0, |it| it.as_millis() as u64),
+            "ms" => time.as_millis() as u64,
+            "targets_age_ms" => entry.targets_age().as_millis() as u64);
+    }
+}
+
+/// Returns the body for the target.
+async fn whole_body(
+    entry: &Arc<Entry>,
+    call: &Call,
+    route: &Route,
+    shard: u32,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    if route.history.is_none() {
+        return Ok(call.body.clone());
+    }
+    if call.resume_after.is_some() {
+        let detail = "the events before the interruption are not kept, so the turn cannot go on";
+        return Err(Refusal::not_run(Reason::HistoryNeeded, detail).retry_after(ROUTES_RETRY));
+    }
+    let Some(previous) = &call.previous else {
+        return Ok(call.body.clone());
+    };
+    let said = history::chain(entry, shard, previous, deadline).await?;
+    let mut body = BytesMut::with_capacity(said.len() + call.body.len());
+    body.extend_from_slice(&said);
+    body.extend_from_slice(&call.body);
+    Ok(body.freeze())
+}
+
+/// What the owner of a call's program has decided.
+#[derive(Default)]
+struct Admitted {
+    grant: Option<Grant>,
+    home: Option<TargetName>,
+    underway: bool,
+}
+
+/// Asks the program's owner for the tokens of a turn.
+async fn admit(
+    entry: &Arc<Entry>,
+    call: &Call,
+    route: &Route,
+    shard: u32,
+    deadline: Instant,
+) -> Result<Admitted, Refusal> {
+    let (Some(tag), Some(prompt), true) = (&call.program, &call.prompt, route.is_stream()) else {
+        return Ok(Admitted::default());
+    };
+    let Some(budget) = tag.budget else {
+        return Ok(Admitted::default());
+    };
+    let ask = Ask {
+        program: tag.program.clone(),
+        session: tag.session.clone(),
+        request: call.id.clone(),
+        budget,
+        tokens: prompt.output,
+    };
+    // The grant is returned if the caller leaves while the owner decides.
+    let grant = Grant::new(entry, shard, tag, &ask);
+    match grants::ask(entry, shard, &ask, deadline).await {
+        Ok(Verdict::Granted { home, underway }) => {
+            Ok(Admitted { grant: Some(grant), home, underway })
+        }
+        Ok(Verdict::Spent) => {
+            let detail = format!("the budget of {budget} does not hold {} more", ask.tokens);
+            Err(Refusal::not_run(Reason::BudgetSpent, detail))
+        }
+        Ok(Verdict::Record(_) | Verdict::Uncertain) => {
+            let detail = "earlier owners may have granted the rest of the budget";
+            let refusal = Refusal::not_run(Reason::BudgetNotJournalled, detail);
+            Err(refusal.retry_after(UNCERTAIN_RETRY))
+        }
+        Err(refusal) => Err(refusal),
+    }
+}
+
+/// Returns the rank among an engine's requests: by priority, programs under way first.
+fn rank(route: &Route, is_underway: bool) -> u8 {
+    (route.priority.saturating_mul(2) + u8::from(!is_underway)).min(LAST_RANK)
+}
+
+/// Tokens that the owner has granted; what was not used goes back when it is dropped.
+struct Grant {
+    entry: Arc<Entry>,
+    shard: u32,
+    ask: Ask,
+    tokens: Tokens,
+    used: AtomicU64,
+    target: Mutex<Option<TargetName>>,
+}
+
+impl Grant {
+    fn new(entry: &Arc<Entry>, shard: u32, tag: &ProgramTag, ask: &Ask) -> Grant {
+        debug_assert_eq!(tag.program, ask.program);
+        Grant {
+            entry: entry.clone(),
+            shard,
+            ask: ask.clone(),
+            tokens: ask.tokens,
+            used: AtomicU64::new(0),
+            target: Mutex::default(),
+        }
+    }
+
+    fn used(&self) -> Tokens {
+        self.used.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let target = self.target.lock().expect("no holder of the target panics").clone();
+        let settlement = Settlement {
+            program: self.ask.program.clone(),
+            session: self.ask.session.clone(),
+            request: self.ask.request.clone(),
+            used: self.used(),
+            target,
+        };
+        grants::report(&self.entry, self.shard, settlement);
+    }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/choose.rs
@@ -0,0 +1,137 @@
+//! Which target gets a request: candidates from the registry, the cost from `rosethread_policy`.
+
+use rosethread_config::PolicyName;
+use rosethread_membership::View;
+use rosethread_policy::{Candidate, Request, Strategy, Weights, place};
+use rosethread_types::{ServiceName, TargetName};
+
+use crate::{
+    call::{Call, PromptShape},
+    entry::Entry,
+    load::Known,
+    registry::{Target, TargetStatus},
+    routes::Service,
+};
+
+/// Prompt tokens that an engine reads in a second, until a platform tells better.
+const PREFILL_RATE: f64 = 150_000.0;
+
+/// By how much a full batch slows its sequences down, as a share of a request's time.
+const BATCH_CROWDING: f64 = 0.4;
+
+/// The extra time to reach a target in another availability zone, in seconds.
+const ZONE_DISTANCE_S: f64 = 0.002;
+
+/// The weight of a thousand prompt tokens read again; reading them costs time, which counts itself.
+const WASTE_WEIGHT: f64 = 0.002;
+
+/// The fewest connections that a host may have to a target, however many hosts there are.
+const MIN_CONNECTIONS: usize = 2;
+
+/// A chosen target and what is known of its room.
+#[derive(Clone, Debug)]
+pub(crate) struct Chosen {
+    pub(crate) target: Target,
+    /// The connections that this host may have to it.
+    pub(crate) connections: usize,
+    /// Requests that all hosts are known to have under way there.
+    pub(crate) running: u32,
+}
+
+/// Chooses a target of `service`, other than those in `tried`.
+pub(crate) fn choose(
+    entry: &Entry,
+    call: &Call,
+    service: &ServiceName,
+    home: Option<&TargetName>,
+    tried: &[TargetName],
+) -> Option<Chosen> {
+    let routes = entry.routes();
+    let targets = entry.targets();
+    let view = entry.view();
+    let connections = connections(routes.services.get(service), &view);
+    let usable = |it: &&Target| {
+        it.service == *service && it.status == TargetStatus::Ready && !tried.contains(&it.name)
+    };
+    let mut usable: Vec<&Target> = targets.values().filter(usable).collect();
+    if usable.is_empty() {
+        return None;
+    }
+    // Equal costs go to the first, which must not be the same target at every host.
+    let draw = entry.random.bits() as usize >> 1;
+    let turn = draw % usable.len();
+    usable.rotate_left(turn);
+    let loads = entry.loads.lock();
+    let fresh = Known::default();
+    let candidates: Vec<Candidate> = usable
+        .iter()
+        .map(|it| {
+            let known = loads.get(&it.name).unwrap_or(&fresh);
+            candidate(entry, it, known, &view, call.prompt.as_ref(), home, connections)
+        })
+        .collect();
+    drop(loads);
+    let request = Request {
+        prompt: call.prompt.as_ref().map_or(0, PromptShape::tokens),
+        home: home.and_then(|home| usable.iter().position(|it| it.name == *home)),
+        turn: draw,
+    };
+    let weights = Weights { latency: 1.0, waste: WASTE_WEIGHT };
+    let placement = place(strategy(entry.settings.policy), &candidates, request, weights)?;
+    let running = candidates[placement.index].running;
+    Some(Chosen { target: usable[placement.index].clone(), connections, running })
+}
+
+/// Returns this host's part of the connections that a target accepts.
+fn connections(service: Option<&Service>, view: &View) -> usize {
+    let all = service.map_or(usize::MAX, |it| it.connections as usize);
+    (all / view.live().count().max(1)).max(MIN_CONNECTIONS)
+}
+
+fn candidate(
+    entry: &Entry,
+    target: &Target,
+    known: &Known,
+    view: &View,
+    prompt: Option<&PromptShape>,
+    home: Option<&TargetName>,
+    connections: usize,
+) -> Candidate {
+    let now = entry.now();
+    let own = known.health.outstanding;
+    let others = running_elsewhere(view, entry, &target.name);
+    let cached = match prompt {
+        Some(prompt) if home == Some(&target.name) => prompt.tokens(),
+        Some(prompt) => known.cached(&prompt.parts, now),
+        None => 0,
+    };
+    let is_near = target.zone == entry.settings.zone;
+    Candidate {
+        slots: target.slots,
+        running: own + others,
+        waiting: 0,
+        cached,
+        pressure: known.health.pressure,
+        prefill_rate: PREFILL_RATE,
+        service_s: known.health.service_s,
+        distance_s: if is_near { 0.0 } else { ZONE_DISTANCE_S },
+        crowding: BATCH_CROWDING,
+        is_broken: known.health.breaker.is_open(now) || connections <= own as usize,
+    }
+}
+
+/// Returns what the other hosts say they have under way at a target.
+fn running_elsewhere(view: &View, entry: &Entry, target: &TargetName) -> u32 {
+    let others = view.live().filter(|it| it.node != entry.settings.node);
+    let loads = others.flat_map(|it| it.summary.targets.iter());
+    loads.filter(|it| it.target == *target).map(|it| u32::from(it.running)).sum()
+}
+
+fn strategy(policy: PolicyName) -> Strategy {
+    match policy {
+        PolicyName::Adaptive => Strategy::Adaptive,
+        PolicyName::RoundRobin => Strategy::RoundRobin,
+        PolicyName::LeastLoaded => Strategy::LeastLoaded,
+        PolicyName::Sticky => Strategy::Sticky,
+    }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/control.rs
@@ -0,0 +1,58 @@
+//! The control thread: membership, routes, targets and periodic work.
+
+mod hosts;
+mod periodic;
+mod routes;
+mod targets;
+
+use std::{
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use kameo::actor::ActorRef;
+use rosethread_config::KeySettings;
+use rosethread_membership::{AuthKeys, DetectorConfig};
+use rosethread_runtime::{Members, MembersParts, start_members};
+
+use crate::entry::Entry;
+
+pub(crate) use targets::targets_reply;
+
+/// The time between two probes of membership.
+const PROBE_PERIOD: Duration = Duration::from_millis(200);
+
+/// The time from a suspicion to the verdict.
+const SUSPICION: Duration = Duration::from_millis(800);
+
+/// Starts everything that runs on the control thread.
+pub(crate) fn start(entry: &Arc<Entry>) -> ActorRef<Members> {
+    let members = start_members(members_parts(entry), &entry.random);
+    let tasks = &entry.tasks;
+    tasks.spawn_control(hosts::greet_seeds(entry.clone(), members.clone()));
+    tasks.spawn_control(hosts::follow_hosts(entry.clone(), members.clone()));
+    tasks.spawn_control(routes::follow(entry.clone()));
+    tasks.spawn_control(routes::follow_peers(entry.clone()));
+    tasks.spawn_control(targets::follow(entry.clone()));
+    tasks.spawn_control(periodic::update_summary(entry.clone(), members.clone()));
+    tasks.spawn(periodic::tidy(entry.clone()));
+    members
+}
+
+fn members_parts(entry: &Arc<Entry>) -> MembersParts {
+    let settings = &entry.settings;
+    MembersParts {
+        node: settings.node.clone(),
+        incarnation: entry.incarnation,
+        contact: entry.contact(),
+        config: DetectorConfig { period: PROBE_PERIOD, suspicion: SUSPICION },
+        keys: AuthKeys::new(KeySettings::decode(&settings.keys.shared)),
+        clock: entry.clock,
+        tasks: entry.tasks.clone(),
+        timer: entry.timer.clone(),
+        datagrams: entry.datagrams.clone(),
+        view: entry.view.clone(),
+        suspicions: Arc::new(AtomicU64::new(0)),
+        logger: entry.logger.clone(),
+    }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/directory.rs
@@ -0,0 +1,45 @@
+//! Which hosts callers should use.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rosethread_policy::{HostLoad, order_hosts};
+use rosethread_types::ZoneName;
+
+use crate::entry::{Entry, Phase};
+
+/// The most hosts in one answer.
+const MAX_HOSTS: usize = 64;
+
+/// How long callers may keep an answer while nothing changes, unless they are told less.
+const KEEP: Duration = Duration::from_secs(2);
+
+/// How long callers may keep an answer of a host that is about to stop.
+const LEAVING_KEEP: Duration = Duration::from_millis(500);
+
+/// The hosts to use, and for how long.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Directions {
+    /// The addresses for callers, those to prefer first.
+    pub addresses: Vec<SocketAddr>,
+    /// How long the answer may be kept.
+    pub keep: Duration,
+}
+
+/// Returns the hosts for a caller in `zone`: those that answer, have routes and do not leave.
+pub fn directions(entry: &Entry, zone: Option<&ZoneName>) -> Directions {
+    let view = entry.view();
+    let ready: Vec<_> = view.live().filter(|it| it.summary.revision.0 != 0).collect();
+    let loads: Vec<HostLoad> = ready
+        .iter()
+        .map(|it| HostLoad {
+            node: it.node.clone(),
+            calls: it.summary.calls,
+            is_near: zone == Some(&it.contact.zone),
+        })
+        .collect();
+    let order = order_hosts(&loads, MAX_HOSTS, || entry.random.fraction());
+    let addresses = order.into_iter().map(|it| ready[it].contact.caller).collect();
+    let longest = Duration::from_secs_f64(entry.settings.bounds.keep_s);
+    let keep = if entry.phase() == Phase::Serving { KEEP } else { LEAVING_KEEP };
+    Directions { addresses, keep: keep.min(longest) }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/entry.rs
@@ -0,0 +1,214 @@
+//! What all parts of an entry share.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use rosethread_membership::{Contact, View};
+use rosethread_platform::{Clock, SharedLog};
+use rosethread_runtime::{Datagrams, Random, Tasks, Timer};
+use rosethread_types::{Incarnation, TargetName};
+use slog::Logger;
+use tokio::{sync::watch, time::Instant};
+
+use crate::{
+    history::Turns,
+    load::Loads,
+    metrics::Metrics,
+    peers::PeerLink,
+    ports::{RoutesSource, TargetsSource, Upstream},
+    registry::{Registry, Target},
+    routes::Routes,
+    settings::EntrySettings,
+    shards::Shards,
+};
+
+/// Everything that an entry is built from.
+pub struct Parts {
+    /// The process's own settings.
+    pub settings: EntrySettings,
+    /// The wall clock.
+    pub clock: Clock,
+    /// The platform's shared log.
+    pub store: Arc<dyn SharedLog>,
+    /// Where routes come from.
+    pub routes: Arc<dyn RoutesSource>,
+    /// Where targets register.
+    pub targets: Arc<dyn TargetsSource>,
+    /// The way to targets.
+    pub upstream: Arc<dyn Upstream>,
+    /// The way to other nodes, for requests.
+    pub peers: Arc<dyn PeerLink>,
+    /// The way to other nodes, for heartbeats.
+    pub datagrams: Arc<dyn Datagrams>,
+    /// The random source.
+    pub random: Random,
+    /// Where the tasks run.
+    pub tasks: Tasks,
+    /// The logger.
+    pub logger: Logger,
+}
+
+/// How far an entry is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It takes calls.
+    Serving,
+    /// It answers calls that still come, and tells callers to go elsewhere.
+    Draining,
+    /// It has stopped.
+    Stopped,
+}
+
+/// The shared state of an entry.
+pub struct Entry {
+    pub(crate) settings: EntrySettings,
+    pub(crate) clock: Clock,
+    pub(crate) start: Instant,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) tasks: Tasks,
+    pub(crate) timer: Timer,
+    pub(crate) random: Random,
+    pub(crate) logger: Logger,
+    pub(crate) metrics: Metrics,
+    pub(crate) store: Arc<dyn SharedLog>,
+    pub(crate) routes_source: Arc<dyn RoutesSource>,
+    pub(crate) targets_source: Arc<dyn TargetsSource>,
+    pub(crate) upstream: Arc<dyn Upstream>,
+    pub(crate) peers: Arc<dyn PeerLink>,
+    pub(crate) datagrams: Arc<dyn Datagrams>,
+    pub(crate) routes: watch::Sender<Arc<Routes>>,
+    pub(crate) registry: Mutex<Registry>,
+    pub(crate) targets: watch::Sender<Arc<BTreeMap<TargetName, Target>>>,
+    /// When the targets were read last, in milliseconds since the start.
+    pub(crate) targets_read: AtomicU64,
+    pub(crate) view: watch::Sender<Arc<View>>,
+    pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) loads: Loads,
+    pub(crate) shards: Shards,
+    pub(crate) turns: Turns,
+    /// Calls under way here.
+    pub(crate) calls: AtomicU32,
+}
+
+impl Entry {
+    pub(crate) fn new(parts: Parts) -> Arc<Entry> {
+        Arc::new(Entry {
+            start: Instant::now(),
+            incarnation: Incarnation(parts.clock.now_ms()),
+            timer: Timer::start(&parts.tasks),
+            metrics: Metrics::new(),
+            routes: watch::Sender::new(Arc::default()),
+            registry: Mutex::default(),
+            targets: watch::Sender::new(Arc::default()),
+            targets_read: AtomicU64::new(0),
+            view: watch::Sender::new(Arc::default()),
+            phase: watch::Sender::new(Phase::Serving),
+            loads: Loads::default(),
+            shards: Shards::default(),
+            turns: Turns::default(),
+            calls: AtomicU32::new(0),
+            settings: parts.settings,
+            clock: parts.clock,
+            store: parts.store,
+            routes_source: parts.routes,
+            targets_source: parts.targets,
+            upstream: parts.upstream,
+            peers: parts.peers,
+            datagrams: parts.datagrams,
+            random: parts.random,
+            tasks: parts.tasks,
+            logger: parts.logger,
+        })
+    }
+
+    /// Returns the process's settings.
+    pub fn settings(&self) -> &EntrySettings {
+        &self.settings
+    }
+
+    /// Returns the logger.
+    pub fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> Arc<Routes> {
+        self.routes.borrow().clone()
+    }
+
+    /// Returns how far the entry is in its life.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Returns a receiver that is told of each change of the phase.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Tells whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.routes.borrow().revision.0 != 0
+    }
+
+    pub(crate) fn targets(&self) -> Arc<BTreeMap<TargetName, Target>> {
+        self.targets.borrow().clone()
+    }
+
+    /// Returns the time since the targets were read.
+    pub(crate) fn targets_age(&self) -> Duration {
+        let read = Duration::from_millis(self.targets_read.load(Ordering::Relaxed));
+        self.now().saturating_sub(read)
+    }
+
+    pub(crate) fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Returns the time since the start.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    pub(crate) fn contact(&self) -> Contact {
+        let addresses = &self.settings.addresses;
+        Contact {
+            zone: self.settings.zone.clone(),
+            caller: addresses.caller,
+            peer: addresses.peer,
+            heartbeat: addresses.heartbeat,
+        }
+    }
+
+    /// Forgets what is known of a target whose address has another one now.
+    pub(crate) fn forget_target(&self, target: &TargetName) {
+        self.loads.forget(target);
+        self.upstream.forget(target);
+    }
+
+    /// Counts a call as under way until the guard is dropped.
+    pub(crate) fn count_call(self: &Arc<Entry>) -> CallGuard {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        CallGuard(self.clone())
+    }
+}
+
+/// Counts one call as under way.
+pub(crate) struct CallGuard(Arc<Entry>);
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.0.calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/history.rs
@@ -0,0 +1,283 @@
+//! Kept turns: written to the log before a caller sees the end of the answer, found again later.
+//!
+//! The host that is responsible for a program's shard holds its turns in memory. It reads what it
+//! lacks from the log, so any host can take its place at any time.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use rosethread_platform::{Partition, StoreError};
+use rosethread_types::{Reason, Refusal, RequestId, StreamName};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    chains::{Chains, Turn},
+    entry::Entry,
+    peers::{PeerReply, PeerRequest},
+    shards::responsible_for,
+};
+
+/// Bytes asked for by one read of a partition.
+const READ_BYTES: usize = 1 << 20;
+
+/// Bytes of a record that are not part of the piece of a turn that it holds.
+const PIECE_OVERHEAD: usize = 128;
+
+/// The longest wait for the turns before a call until it is refused.
+const CHAIN_TIME: Duration = Duration::from_millis(1_200);
+
+/// The pause before the turns are asked for again, or an append is repeated.
+const AGAIN: Duration = Duration::from_millis(60);
+
+/// What a caller is told to wait when the earlier turns could not be found out.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// A part of a turn as it lies in the log; the parts of one turn follow each other.
+#[derive(Serialize, Deserialize)]
+struct Piece {
+    turn: RequestId,
+    index: u32,
+    count: u32,
+    bytes: Vec<u8>,
+}
+
+/// The turns of one shard, as far as they are known here.
+#[derive(Default)]
+struct ShardTurns {
+    chains: Chains,
+    /// The offset up to which the partition has been read.
+    next: u64,
+    /// The pieces of a turn whose last one has not been read.
+    partial: Vec<u8>,
+}
+
+type SharedTurns = Arc<Mutex<ShardTurns>>;
+
+/// The turns that a node holds, by shard.
+#[derive(Default)]
+pub(crate) struct Turns {
+    shards: Mutex<BTreeMap<u32, SharedTurns>>,
+    reads: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<()>>>>,
+}
+
+impl Turns {
+    fn shard(&self, index: u32) -> SharedTurns {
+        let mut shards = self.shards.lock().expect("no holder of the turns panics");
+        shards.entry(index).or_default().clone()
+    }
+
+    fn read_lock(&self, index: u32) -> Arc<tokio::sync::Mutex<()>> {
+        let mut reads = self.reads.lock().expect("no holder of the reads panics");
+        reads.entry(index).or_default().clone()
+    }
+
+    /// Forgets turns that have not been used for `age`, and returns the bytes that are left.
+    pub(crate) fn expire(&self, now: Duration, age: Duration) -> usize {
+        let shards = self.shards.lock().expect("no holder of the turns panics");
+        let mut bytes = 0;
+        for turns in shards.values() {
+            let mut turns = lock(turns);
+            turns.chains.expire(now, age);
+            bytes += turns.chains.size().1;
+        }
+        bytes
+    }
+}
+
+fn lock(turns: &SharedTurns) -> MutexGuard<'_, ShardTurns> {
+    turns.lock().expect("no holder of a shard's turns panics")
+}
+
+fn partition(index: u32) -> Partition {
+    let topic: StreamName = "rosethread-turns".parse().expect("the name is valid");
+    Partition { topic, index }
+}
+
+/// Returns everything that was said up to `turn`, from here or from the responsible host.
+pub(crate) async fn chain(
+    entry: &Arc<Entry>,
+    shard: u32,
+    turn: &RequestId,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let until = deadline.min(Instant::now() + CHAIN_TIME);
+    loop {
+        let reason = match chain_once(entry, shard, turn).await {
+            PeerReply::Chain(text) => return Ok(text),
+            PeerReply::NoTurn => {
+                let detail = format!("no turn {turn} is kept");
+                return Err(Refusal::not_run(Reason::UnknownTurn, detail));
+            }
+            PeerReply::Unable(reason) => reason,
+            _ => "another kind of reply".to_owned(),
+        };
+        if until < Instant::now() + AGAIN {
+            let detail = format!("turn {turn} could not be found out: {reason}");
+            let refusal = Refusal::not_run(Reason::JournalUnavailable, detail);
+            return Err(refusal.retry_after(RETRY_AFTER));
+        }
+        sleep(AGAIN).await;
+    }
+}
+
+async fn chain_once(entry: &Arc<Entry>, shard: u32, turn: &RequestId) -> PeerReply {
+    let contact = match responsible_for(entry, shard) {
+        Some(owner) if owner != entry.settings.node => {
+            entry.view().get(&owner).map(|it| it.contact.peer)
+        }
+        _ => None,
+    };
+    let Some(contact) = contact else {
+        return chain_here(entry, shard, turn).await;
+    };
+    let request = PeerRequest::Chain { shard, turn: turn.clone() };
+    match entry.peers.ask(contact, request).await {
+        Ok(reply) => reply,
+        // The log knows as much as the host that cannot be reached.
+        Err(_) => chain_here(entry, shard, turn).await,
+    }
+}
+
+/// Returns everything that was said up to `turn`, from memory or from the log.
+pub(crate) async fn chain_here(entry: &Entry, shard: u32, turn: &RequestId) -> PeerReply {
+    let turns = entry.turns.shard(shard);
+    if let Some(text) = lock(&turns).chains.text(turn, entry.now()) {
+        return PeerReply::Chain(text);
+    }
+    let read_lock = entry.turns.read_lock(shard);
+    let _reading = read_lock.lock().await;
+    if let Some(text) = lock(&turns).chains.text(turn, entry.now()) {
+        return PeerReply::Chain(text);
+    }
+    if let Err(error) = read_on(entry, shard, &turns).await {
+        return PeerReply::Unable(error.to_string());
+    }
+    match lock(&turns).chains.text(turn, entry.now()) {
+        Some(text) => PeerReply::Chain(text),
+        None => PeerReply::NoTurn,
+    }
+}
+
+/// Reads a partition to its end.
+async fn read_on(entry: &Entry, shard: u32, turns: &SharedTurns) -> Result<(), StoreError> {
+    let partition = partition(shard);
+    let first = lock(turns).next;
+    loop {
+        let next = lock(turns).next;
+        let read = match entry.store.read(&partition, next, READ_BYTES, Duration::ZERO).await {
+            Err(StoreError::Expired { first }) => {
+                lock(turns).next = first;
+                continue;
+            }
+            read => read?,
+        };
+        let mut turns = lock(turns);
+        for it in &read.entries {
+            turns.next = it.offset + 1;
+            turns.take(entry, &it.data);
+        }
+        if read.end <= turns.next || read.entries.is_empty() {
+            let count = turns.chains.size().0;
+            info!(entry.logger, "history: read the log"; "shard" => shard, "from" => first,
+                "to" => turns.next, "turns" => count);
+            return Ok(());
+        }
+    }
+}
+
+impl ShardTurns {
+    fn take(&mut self, entry: &Entry, data: &[u8]) {
+        let piece: Piece = match postcard::from_bytes(data) {
+            Ok(piece) => piece,
+            Err(error) => {
+                warn!(entry.logger, "history: a record is not in the expected form";
+                    "error" => %error);
+                return;
+            }
+        };
+        if piece.index == 0 {
+            self.partial.clear();
+        }
+        self.partial.extend_from_slice(&piece.bytes);
+        if piece.index + 1 < piece.count {
+            return;
+        }
+        match postcard::from_bytes(&self.partial) {
+            Ok(turn) => self.chains.keep(turn, entry.now()),
+            Err(error) => warn!(entry.logger, "history: a turn's pieces do not fit together";
+                "turn" => %piece.turn, "error" => %error),
+        }
+        self.partial.clear();
+    }
+}
+
+/// Holds a turn that has been written to the log.
+pub(crate) fn keep_here(entry: &Entry, shard: u32, turn: Turn) {
+    let turns = entry.turns.shard(shard);
+    lock(&turns).chains.keep(turn, entry.now());
+}
+
+/// Writes a finished turn to the log; the caller may see its end when this returns true.
+pub(crate) async fn write(
+    entry: &Arc<Entry>,
+    shard: u32,
+    turn: Turn,
+    deadline: Instant,
+) -> Result<(), StoreError> {
+    let records = pieces(&turn, entry.settings.platform.record_bytes);
+    let partition = partition(shard);
+    loop {
+        entry.metrics.appends.inc();
+        // A second copy of a turn does no harm, so no fence is needed.
+        let error = match entry.store.append(&partition, &records, None).await {
+            Ok(_) => break,
+            Err(error) => error,
+        };
+        if !error.is_away() || deadline < Instant::now() + AGAIN {
+            return Err(error);
+        }
+        sleep(AGAIN).await;
+    }
+    tell_keeper(entry, shard, turn);
+    Ok(())
+}
+
+fn pieces(turn: &Turn, record_bytes: usize) -> Vec<Bytes> {
+    let bytes = postcard::to_stdvec(turn).expect("a turn serialises");
+    let room = record_bytes.saturating_sub(PIECE_OVERHEAD).max(1);
+    let count = bytes.len().div_ceil(room) as u32;
+    let chunks = bytes.chunks(room).enumerate();
+    let piece = |(index, chunk): (usize, &[u8])| Piece {
+        turn: turn.id.clone(),
+        index: index as u32,
+        count,
+        bytes: chunk.to_vec(),
+    };
+    let encode = |it: Piece| Bytes::from(postcard::to_stdvec(&it).expect("a piece serialises"));
+    chunks.map(piece).map(encode).collect()
+}
+
+/// Hands a turn to the host that will be asked for it; otherwise that host reads it from the log.
+fn tell_keeper(entry: &Arc<Entry>, shard: u32, turn: Turn) {
+    let Some(owner) = responsible_for(entry, shard) else {
+        return;
+    };
+    if owner == entry.settings.node {
+        keep_here(entry, shard, turn);
+        return;
+    }
+    let Some(contact) = entry.view().get(&owner).map(|it| it.contact.peer) else {
+        return;
+    };
+    let entry = entry.clone();
+    entry.tasks.clone().spawn(async move {
+        // A host that misses the turn reads it from the log.
+        let _ = entry.peers.ask(contact, PeerRequest::Keep { shard, turn }).await;
+    });
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -0,0 +1,279 @@
+//! Token budgets of the programs of one shard, without the log in the way of ordinary turns.
+//!
+//! A program's owner grants tokens before a turn runs, and never more than its *ceiling*. Up to a
+//! first part of the budget the ceiling needs no record; beyond it the owner records a higher one
+//! ahead of need. A successor knows the records but not what was granted below the ceilings, so it
+//! counts each ceiling as spent in full. No clock and no answer from the log decides how much a
+//! program may spend. See `docs/design/platform.md`.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rosethread_types::{ProgramLabel, RequestId, SessionLabel, TargetName, Tokens};
+use serde::{Deserialize, Serialize};
+
+/// The part of a budget that each owner may grant without a record: one in this many.
+const UNRECORDED_PART: Tokens = 4;
+
+/// The owners in a row that may grant without records; later ones record first.
+const UNRECORDED_OWNERS: u64 = 3;
+
+/// The turns' worth of tokens by which a recorded ceiling exceeds what is granted.
+const AHEAD_TURNS: Tokens = 3;
+
+/// The sessions of a program whose last targets are remembered.
+const MAX_SESSIONS: usize = 32;
+
+/// A turn that asks for tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The program.
+    pub program: ProgramLabel,
+    /// The line of turns within the program.
+    pub session: SessionLabel,
+    /// The call.
+    pub request: RequestId,
+    /// The program's whole budget.
+    pub budget: Tokens,
+    /// The most tokens that the turn may generate.
+    pub tokens: Tokens,
+}
+
+/// The owner's answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The turn may generate what it asked for.
+    Granted {
+        /// The target that most likely caches the line's prompt.
+        home: Option<TargetName>,
+        /// Whether the program had a turn before.
+        underway: bool,
+    },
+    /// A ceiling of this many tokens has to be recorded first.
+    Record(Tokens),
+    /// The budget does not hold the turn.
+    Spent,
+    /// The budget may not hold the turn, but what earlier owners granted is not known exactly.
+    Uncertain,
+}
+
+/// How a granted turn ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settlement {
+    /// The program.
+    pub program: ProgramLabel,
+    /// The line of turns.
+    pub session: SessionLabel,
+    /// The call.
+    pub request: RequestId,
+    /// Tokens that were handed to the caller.
+    pub used: Tokens,
+    /// The target that ran the turn, if one did.
+    pub target: Option<TargetName>,
+}
+
+/// What a shard's log says about accounts and their owners.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerRecord {
+    /// An owner begins.
+    Claim {
+        /// The owner's epoch, which is also its fencing number.
+        epoch: u64,
+        /// The node's name.
+        owner: String,
+    },
+    /// A program may be granted this many tokens in all.
+    Ceiling {
+        /// The program.
+        program: ProgramLabel,
+        /// Its budget.
+        budget: Tokens,
+        /// The tokens.
+        tokens: Tokens,
+    },
+    /// A program has spent exactly this much, and nothing is granted beyond it.
+    Settled {
+        /// The program.
+        program: ProgramLabel,
+        /// Its budget.
+        budget: Tokens,
+        /// The tokens.
+        tokens: Tokens,
+    },
+    /// The last owner has settled every program that it granted anything.
+    Released,
+}
+
+/// The account of one program.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Account {
+    budget: Tokens,
+    /// What is certainly spent.
+    spent: Tokens,
+    /// What earlier owners may have granted beyond `spent`.
+    uncertain: Tokens,
+    /// Grants of turns under way.
+    open: BTreeMap<RequestId, Tokens>,
+    /// What may be granted in all, by record or by the unrecorded part.
+    ceiling: Tokens,
+    /// A higher ceiling whose record has been submitted.
+    coming: Option<Tokens>,
+    homes: BTreeMap<SessionLabel, TargetName>,
+    last_home: Option<TargetName>,
+    /// Whether a turn was granted before.
+    is_underway: bool,
+    used: Duration,
+}
+
+impl Account {
+    fn committed(&self) -> Tokens {
+        self.spent + self.uncertain + self.open.values().sum::<Tokens>()
+    }
+}
+
+/// The accounts of one shard at its owner; time is the duration since the process's start.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    /// Earlier owners that may have granted tokens to programs without a record.
+    earlier: u64,
+    accounts: BTreeMap<ProgramLabel, Account>,
+}
+
+impl Ledger {
+    /// Takes in what an earlier owner recorded; records come in the order of the log.
+    pub fn recover(&mut self, record: &LedgerRecord) {
+        match record {
+            LedgerRecord::Claim { .. } => self.earlier += 1,
+            LedgerRecord::Released => self.earlier = self.earlier.saturating_sub(1),
+            LedgerRecord::Ceiling { program, budget, tokens } => {
+                let account = self.accounts.entry(program.clone()).or_default();
+                account.budget = *budget;
+                account.ceiling = account.ceiling.max(*tokens);
+                account.uncertain = account.ceiling.saturating_sub(account.spent);
+                account.is_underway = true;
+            }
+            LedgerRecord::Settled { program, budget, tokens } => {
+                let account = self.accounts.entry(program.clone()).or_default();
+                account.budget = *budget;
+                account.spent = *tokens;
+                account.ceiling = *tokens;
+                account.uncertain = 0;
+                account.is_underway = true;
+            }
+        }
+    }
+
+    /// Returns the number of programs.
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Tells whether no program is known.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    fn open_account(&self, budget: Tokens) -> Account {
+        let part = budget / UNRECORDED_PART;
+        let uncertain = part * self.earlier;
+        let ceiling = if self.earlier < UNRECORDED_OWNERS { uncertain + part } else { uncertain };
+        Account { budget, uncertain, ceiling: ceiling.min(budget), ..Account::default() }
+    }
+
+    /// Decides whether a turn may run, and holds its tokens if so.
+    ///
+    /// The same call asking again keeps its grant.
+    pub fn ask(&mut self, ask: &Ask, now: Duration) -> Verdict {
+        if !self.accounts.contains_key(&ask.program) {
+            let account = self.open_account(ask.budget);
+            self.accounts.insert(ask.program.clone(), account);
+        }
+        let account = self.accounts.get_mut(&ask.program).expect("the account was just opened");
+        account.used = now;
+        let home = account.homes.get(&ask.session).or(account.last_home.as_ref()).cloned();
+        let underway = account.is_underway;
+        if account.open.contains_key(&ask.request) {
+            return Verdict::Granted { home, underway };
+        }
+        let needed = account.committed() + ask.tokens;
+        if account.budget < needed {
+            let certain = needed - account.uncertain;
+            let is_certain = account.budget < certain;
+            return if is_certain { Verdict::Spent } else { Verdict::Uncertain };
+        }
+        if account.ceiling < needed {
+            return Verdict::Record(account.raise(needed, ask.tokens));
+        }
+        account.open.insert(ask.request.clone(), ask.tokens);
+        account.is_underway = true;
+        Verdict::Granted { home, underway }
+    }
+
+    /// Returns a ceiling to record now so that the program's next turns need not wait for it.
+    pub fn ahead(&mut self, program: &ProgramLabel, turn: Tokens) -> Option<(Tokens, Tokens)> {
+        let account = self.accounts.get_mut(program)?;
+        let next = account.committed() + turn;
+        let planned = account.coming.unwrap_or(0).max(account.ceiling);
+        if next <= planned || account.budget < next {
+            return None;
+        }
+        let ceiling = account.raise(next, turn);
+        account.coming = Some(ceiling);
+        Some((account.budget, ceiling))
+    }
+
+    /// Takes note that a program's ceiling has been recorded.
+    pub fn recorded(&mut self, program: &ProgramLabel, ceiling: Tokens) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.ceiling = account.ceiling.max(ceiling);
+            account.coming = account.coming.filter(|it| account.ceiling < *it);
+        }
+    }
+
+    /// Takes note that a record of a higher ceiling did not reach the log.
+    pub fn unrecorded(&mut self, program: &ProgramLabel) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.coming = None;
+        }
+    }
+
+    /// Takes note of how a turn ended. Its grant is returned but for what was used.
+    pub fn settle(&mut self, settlement: &Settlement, now: Duration) {
+        let Some(account) = self.accounts.get_mut(&settlement.program) else {
+            return;
+        };
+        account.used = now;
+        if account.open.remove(&settlement.request).is_none() {
+            return;
+        }
+        account.spent += settlement.used;
+        if let Some(target) = &settlement.target {
+            if account.homes.len() < MAX_SESSIONS {
+                account.homes.insert(settlement.session.clone(), target.clone());
+            }
+            account.last_home = Some(target.clone());
+        }
+    }
+
+    /// Returns the records that let a successor go on with exact accounts.
+    ///
+    /// Turns under way count in full, since their ends will not be heard of here.
+    pub fn release(&self) -> Vec<LedgerRecord> {
+        let settled = self.accounts.iter().map(|(program, it)| LedgerRecord::Settled {
+            program: program.clone(),
+            budget: it.budget,
+            tokens: it.committed(),
+        });
+        settled.chain([LedgerRecord::Released]).collect()
+    }
+
+    /// Forgets programs without turns for `age`.
+    pub fn expire(&mut self, now: Duration, age: Duration) {
+        self.accounts.retain(|_, it| now < it.used + age);
+    }
+}
+
+impl Account {
+    fn raise(&self, needed: Tokens, turn: Tokens) -> Tokens {
+        needed.saturating_add(turn * (AHEAD_TURNS - 1)).min(self.budget)
+    }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/load.rs
@@ -0,0 +1,135 @@
+//! What this host has under way at each target, and what it has learned about them.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use rosethread_membership::TargetLoad;
+use rosethread_policy::Health;
+use rosethread_types::{PromptPart, TargetName};
+use tokio::time::Instant;
+
+/// How long a prompt's part is taken to stay in an engine's cache after its last use.
+const PART_AGE: Duration = Duration::from_secs(20);
+
+/// The most parts remembered for a target; the oldest give way.
+const MAX_PARTS: usize = 256;
+
+/// What is known of one target.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Known {
+    pub(crate) health: Health,
+    /// Parts of prompts that the target has read lately, and when.
+    parts: BTreeMap<PromptPart, Duration>,
+}
+
+impl Known {
+    /// Returns the tokens at the beginning of a prompt that the target is believed to cache.
+    pub(crate) fn cached(&self, prompt: &[(PromptPart, u64)], now: Duration) -> u64 {
+        let is_kept = |it: &&(PromptPart, u64)| {
+            self.parts.get(&it.0).is_some_and(|seen| now < *seen + PART_AGE)
+        };
+        prompt.iter().take_while(is_kept).map(|it| it.1).sum()
+    }
+
+    fn remember(&mut self, prompt: &[(PromptPart, u64)], now: Duration) {
+        for (part, _) in prompt {
+            self.parts.insert(part.clone(), now);
+        }
+        if MAX_PARTS < self.parts.len() {
+            self.parts.retain(|_, seen| now < *seen + PART_AGE / 2);
+        }
+    }
+}
+
+/// The targets as this host uses them; clones share the state.
+#[derive(Clone, Default)]
+pub(crate) struct Loads(Arc<Mutex<BTreeMap<TargetName, Known>>>);
+
+impl Loads {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, BTreeMap<TargetName, Known>> {
+        self.0.lock().expect("no holder of the loads panics")
+    }
+
+    /// Counts a request as under way at a target until the guard is dropped.
+    pub(crate) fn start(
+        &self,
+        target: &TargetName,
+        prompt: &[(PromptPart, u64)],
+        now: Duration,
+    ) -> Underway {
+        let mut loads = self.lock();
+        let known = loads.entry(target.clone()).or_default();
+        known.health.outstanding += 1;
+        known.health.breaker.start();
+        known.remember(prompt, now);
+        drop(loads);
+        Underway {
+            loads: self.clone(),
+            target: target.clone(),
+            started: Instant::now(),
+            is_judged: false,
+        }
+    }
+
+    /// Forgets a target that is gone, or that has started anew.
+    pub(crate) fn forget(&self, target: &TargetName) {
+        if let Some(known) = self.lock().get_mut(target) {
+            let outstanding = known.health.outstanding;
+            *known = Known::default();
+            known.health.outstanding = outstanding;
+        }
+    }
+
+    /// Returns what this host has under way, for the others.
+    pub(crate) fn summary(&self) -> Vec<TargetLoad> {
+        let loads = self.lock();
+        let busy = loads.iter().filter(|(_, it)| it.health.outstanding != 0);
+        busy.map(|(target, it)| TargetLoad {
+            target: target.clone(),
+            running: it.health.outstanding.min(u32::from(u16::MAX)) as u16,
+            waiting: 0,
+        })
+        .collect()
+    }
+}
+
+/// One request under way at a target.
+pub(crate) struct Underway {
+    loads: Loads,
+    target: TargetName,
+    started: Instant,
+    is_judged: bool,
+}
+
+impl Underway {
+    /// Takes note that the target has served the request.
+    pub(crate) fn succeed(&mut self) {
+        let time = self.started.elapsed();
+        self.judge(|it| it.succeed(time));
+    }
+
+    /// Takes note that the target has failed the request at `now`.
+    pub(crate) fn fail(&mut self, now: Duration) {
+        self.judge(|it| it.fail(now));
+    }
+
+    fn judge(&mut self, judge: impl FnOnce(&mut Health)) {
+        if !std::mem::replace(&mut self.is_judged, true)
+            && let Some(known) = self.loads.lock().get_mut(&self.target)
+        {
+            judge(&mut known.health);
+        }
+    }
+}
+
+impl Drop for Underway {
+    fn drop(&mut self) {
+        self.judge(|it| it.breaker.abandon());
+        if let Some(known) = self.loads.lock().get_mut(&self.target) {
+            known.health.outstanding = known.health.outstanding.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -0,0 +1,97 @@
+//! The answering side of requests between nodes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt, stream::SplitSink};
+use slog::{debug, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::{
+    control,
+    entry::Entry,
+    grants, history,
+    peers::{PeerReply, PeerRequest, codec},
+    shards,
+};
+
+/// Replies that wait to be written on one connection.
+const REPLY_BUFFER: usize = 256;
+
+/// Answers other nodes until the process ends.
+pub async fn serve_peers(entry: Arc<Entry>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                // A connection without the option works, only slower.
+                let _ = socket.set_nodelay(true);
+                entry.tasks.spawn(serve_connection(entry.clone(), socket));
+            }
+            Err(error) => {
+                warn!(entry.logger, "peers: a connection was not accepted"; "error" => %error);
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(entry: Arc<Entry>, socket: TcpStream) {
+    let (sink, mut stream) = Framed::new(socket, codec()).split();
+    let (replies, receiver) = mpsc::channel(REPLY_BUFFER);
+    entry.tasks.spawn(write_replies(sink, receiver));
+    while let Some(Ok(frame)) = stream.next().await {
+        let Ok((id, request)) = postcard::from_bytes::<(u64, PeerRequest)>(&frame) else {
+            debug!(entry.logger, "peers: a frame is not in the expected form");
+            return;
+        };
+        let (entry, replies) = (entry.clone(), replies.clone());
+        entry.tasks.clone().spawn(async move {
+            let reply = answer(&entry, request).await;
+            // The asker may have gone, and does not need the reply then.
+            let _ = replies.send((id, reply)).await;
+        });
+    }
+}
+
+async fn write_replies(
+    mut sink: SplitSink<Framed<TcpStream, LengthDelimitedCodec>, Bytes>,
+    mut replies: mpsc::Receiver<(u64, PeerReply)>,
+) {
+    while let Some(reply) = replies.recv().await {
+        let Ok(frame) = postcard::to_stdvec(&reply) else {
+            continue;
+        };
+        if sink.send(frame.into()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Carries out another node's request.
+pub(crate) async fn answer(entry: &Arc<Entry>, request: PeerRequest) -> PeerReply {
+    match request {
+        PeerRequest::Ask { shard, ask } => match grants::decide(entry, shard, &ask).await {
+            Ok(verdict) => PeerReply::Verdict(verdict),
+            Err(reason) => PeerReply::Unable(reason),
+        },
+        PeerRequest::Settle { shard, settlement } => {
+            grants::settle(entry, shard, &settlement);
+            PeerReply::Done
+        }
+        PeerRequest::Chain { shard, turn } => history::chain_here(entry, shard, &turn).await,
+        PeerRequest::Keep { shard, turn } => {
+            history::keep_here(entry, shard, turn);
+            PeerReply::Done
+        }
+        PeerRequest::Yield { shard } => {
+            shards::release(entry, shard).await;
+            PeerReply::Done
+        }
+        PeerRequest::Routes => PeerReply::Routes((*entry.routes()).clone()),
+        PeerRequest::Targets => control::targets_reply(entry),
+    }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/settings.rs
@@ -0,0 +1,132 @@
+//! The settings of one entry process.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rosethread_config::{KeySettings, PolicyName, Problems};
+use rosethread_types::{NodeName, ZoneName};
+use serde::{Deserialize, Serialize};
+
+/// Everything that a process learns from its own settings file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The node's name, unique in the deployment.
+    pub node: NodeName,
+    /// The host's availability zone.
+    pub zone: ZoneName,
+    /// Which scheduling policy is followed.
+    #[serde(default)]
+    pub policy: PolicyName,
+    /// Addresses on hosts to meet first; all hosts use this node's heartbeat port.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The node's own addresses.
+    pub addresses: EntryAddresses,
+    /// Secret keys that authenticate nodes to each other.
+    pub keys: KeySettings,
+    /// The platform's store.
+    pub platform: PlatformSettings,
+    /// Times that the platform's operators have agreed on with their users.
+    pub bounds: Bounds,
+}
+
+/// The addresses that a node listens on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For questions whether the node is ready.
+    pub ready: SocketAddr,
+    /// For questions which hosts to use.
+    pub directory: SocketAddr,
+    /// For requests from other nodes.
+    pub peer: SocketAddr,
+    /// For heartbeats, over UDP.
+    pub heartbeat: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The partitions of a topic.
+    pub partitions: u32,
+    /// How long it keeps records, in seconds.
+    pub retention_s: u64,
+    /// The largest record, in bytes.
+    pub record_bytes: usize,
+    /// The time between two reports of a target, in milliseconds.
+    pub heartbeat_ms: u64,
+}
+
+/// Times that the platform's operators have agreed on with their users.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// From the request to stop to the process's end, in seconds.
+    pub grace_s: f64,
+    /// From an event's arrival to its passing on, in milliseconds.
+    pub pass_ms: f64,
+    /// The longest time for which callers may keep an answer of the directory, in seconds.
+    pub keep_s: f64,
+}
+
+impl EntrySettings {
+    /// Parses and validates settings.
+    pub fn parse(text: &str) -> Result<EntrySettings, Problems> {
+        let settings: EntrySettings =
+            toml::from_str(text).map_err(|it| Problems::of_syntax(&it))?;
+        settings.validate()?;
+        Ok(settings)
+    }
+
+    /// Checks all rules that the types do not express.
+    pub fn validate(&self) -> Result<(), Problems> {
+        let mut problems = Problems::default();
+        let addresses = &self.addresses;
+        let ports = [
+            ("addresses.caller", addresses.caller),
+            ("addresses.ready", addresses.ready),
+            ("addresses.directory", addresses.directory),
+            ("addresses.peer", addresses.peer),
+            ("addresses.heartbeat", addresses.heartbeat),
+            ("addresses.metrics", addresses.metrics),
+            ("platform.address", self.platform.address),
+        ];
+        for (field, address) in ports {
+            problems.require(address.port() != 0, field, address, "the port must not be 0");
+        }
+        let partitions = self.platform.partitions;
+        let rule = "must be from 1 to 1000";
+        problems.require(
+            (1..=1_000).contains(&partitions),
+            "platform.partitions",
+            partitions,
+            rule,
+        );
+        let retention = self.platform.retention_s;
+        problems.require(0 < retention, "platform.retention_s", retention, "must not be 0");
+        let record = self.platform.record_bytes;
+        problems.require(1_024 <= record, "platform.record_bytes", record, "must be 1024 or more");
+        let grace = self.bounds.grace_s;
+        let rule = "must be from 1 to 3600";
+        problems.require((1.0..=3_600.0).contains(&grace), "bounds.grace_s", grace, rule);
+        let keep = self.bounds.keep_s;
+        let rule = "must be from 0 to 3600";
+        problems.require((0.0..=3_600.0).contains(&keep), "bounds.keep_s", keep, rule);
+        let keys = KeySettings::decode(&self.keys.shared);
+        let is_keyed = !keys.is_empty() && keys.len() == self.keys.shared.len();
+        problems.require(is_keyed, "keys.shared", "(hidden)", "must be keys in hexadecimal");
+        problems.into_result(())
+    }
+
+    /// Returns how long the store keeps records.
+    pub fn retention(&self) -> Duration {
+        Duration::from_secs(self.platform.retention_s)
+    }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/shards.rs
@@ -0,0 +1,290 @@
+//! Ownership of shards: one ledger at a time may append to a shard's partition of the log.
+//!
+//! A shard is claimed when its first turn arrives at the host that is responsible for it. The
+//! claim takes a higher epoch, after which the log refuses the former owner, and then reads all
+//! that was recorded. A former owner that still runs is asked to settle first, so that the
+//! successor's accounts are exact. See `docs/design/platform.md`.
+
+mod writer;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool, atomic::Ordering},
+    time::Duration,
+};
+
+use rosethread_membership::{Status, responsible};
+use rosethread_platform::{Fence, Partition, StoreError};
+use rosethread_types::{Digest, NodeName, ProgramLabel, StreamName};
+use slog::{info, warn};
+use tokio::{sync::oneshot, time::timeout};
+
+use crate::{
+    entry::Entry,
+    ledger::{Ledger, LedgerRecord},
+    peers::PeerRequest,
+};
+
+use writer::Writer;
+
+/// Bytes asked for by one read of a partition.
+const READ_BYTES: usize = 1 << 20;
+
+/// How much higher the next epoch is after one was refused: clocks of hosts differ by less.
+const EPOCH_STEP: u64 = 10_000;
+
+/// How often a claim takes a higher epoch before it gives up.
+const MAX_EPOCHS: u32 = 5;
+
+/// The longest wait for an owner's last records.
+const RELEASE_TIME: Duration = Duration::from_millis(400);
+
+/// A shard that this node owns.
+pub(crate) struct Shard {
+    ledger: Mutex<Ledger>,
+    writer: Writer,
+    is_lost: Arc<AtomicBool>,
+}
+
+impl Shard {
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().expect("no holder of a ledger panics")
+    }
+
+    /// Queues a record; the receiver tells whether it has reached the log.
+    pub(crate) fn record(&self, record: LedgerRecord) -> oneshot::Receiver<bool> {
+        self.writer.submit(record)
+    }
+
+    fn is_lost(&self) -> bool {
+        self.is_lost.load(Ordering::Relaxed)
+    }
+}
+
+/// The shards of one node.
+#[derive(Default)]
+pub(crate) struct Shards {
+    owned: Mutex<BTreeMap<u32, Arc<Shard>>>,
+    claims: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<()>>>>,
+}
+
+impl Shards {
+    fn owned(&self) -> MutexGuard<'_, BTreeMap<u32, Arc<Shard>>> {
+        self.owned.lock().expect("no holder of the shards panics")
+    }
+
+    /// Returns the shard if this node owns it.
+    pub(crate) fn get(&self, index: u32) -> Option<Arc<Shard>> {
+        self.owned().get(&index).filter(|it| !it.is_lost()).cloned()
+    }
+
+    /// Returns all shards that this node owns.
+    pub(crate) fn all(&self) -> Vec<(u32, Arc<Shard>)> {
+        let owned = self.owned();
+        owned.iter().filter(|(_, it)| !it.is_lost()).map(|(i, it)| (*i, it.clone())).collect()
+    }
+
+    fn claim_lock(&self, index: u32) -> Arc<tokio::sync::Mutex<()>> {
+        let mut claims = self.claims.lock().expect("no holder of the claims panics");
+        claims.entry(index).or_default().clone()
+    }
+}
+
+/// Returns the shard of a program.
+pub(crate) fn shard_of(entry: &Entry, program: &ProgramLabel) -> u32 {
+    let digest = Digest::default().chain(&[program.as_str().as_bytes()]);
+    let mut bytes = [0; 4];
+    bytes.copy_from_slice(&digest.0[..4]);
+    u32::from_le_bytes(bytes) % entry.settings.platform.partitions
+}
+
+/// Returns the node that is responsible for a shard, by this node's view.
+pub(crate) fn responsible_for(entry: &Entry, index: u32) -> Option<NodeName> {
+    responsible(&entry.view(), &format!("shard-{index}"))
+}
+
+fn partition(index: u32) -> Partition {
+    let topic: StreamName = "rosethread-ledger".parse().expect("the name is valid");
+    Partition { topic, index }
+}
+
+/// Returns the shard, claiming it first if this node is responsible for it.
+pub(crate) async fn own(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, String> {
+    if let Some(shard) = entry.shards.get(index) {
+        return Ok(shard);
+    }
+    let lock = entry.shards.claim_lock(index);
+    let _claiming = lock.lock().await;
+    if let Some(shard) = entry.shards.get(index) {
+        return Ok(shard);
+    }
+    let responsible = responsible_for(entry, index);
+    if responsible.as_ref() != Some(&entry.settings.node) {
+        let name = responsible.map_or_else(|| "no node".to_owned(), |it| it.to_string());
+        return Err(format!("{name} is responsible for shard {index}"));
+    }
+    match claim(entry, index).await {
+        Ok(shard) => {
+            entry.shards.owned().insert(index, shard.clone());
+            entry.metrics.claims.inc();
+            Ok(shard)
+        }
+        Err(error) => {
+            warn!(entry.logger, "shards: a claim failed"; "shard" => index, "error" => %error);
+            Err(error.to_string())
+        }
+    }
+}
+
+async fn claim(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, StoreError> {
+    let mut seen = Seen::default();
+    read_on(entry, index, &mut seen).await?;
+    if let Some(owner) = seen.owner.clone().filter(|_| !seen.is_released) {
+        ask_to_yield(entry, index, &owner).await;
+    }
+    let epoch = fence(entry, index, seen.epoch).await?;
+    read_on(entry, index, &mut seen).await?;
+    let owner = entry.settings.node.to_string();
+    let record = encode(&LedgerRecord::Claim { epoch, owner });
+    let fence = Fence { epoch, number: 0 };
+    append_claim(entry, index, record, fence).await?;
+    info!(entry.logger, "shards: claimed"; "shard" => index, "epoch" => epoch,
+        "after_epoch" => seen.epoch, "former_owner" => seen.owner.as_deref().unwrap_or("none"),
+        "released" => seen.is_released, "records" => seen.records, "programs" => seen.ledger.len());
+    let is_lost = Arc::new(AtomicBool::new(false));
+    let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
+    Ok(Arc::new(Shard { ledger: Mutex::new(seen.ledger), writer, is_lost }))
+}
+
+/// Appends the claim's record, once more if the first answer was lost.
+async fn append_claim(
+    entry: &Entry,
+    index: u32,
+    record: bytes::Bytes,
+    fence: Fence,
+) -> Result<(), StoreError> {
+    let records = [record];
+    let partition = partition(index);
+    entry.metrics.appends.inc();
+    match entry.store.append(&partition, &records, Some(fence)).await {
+        Err(StoreError::Unanswered(_)) => {
+            entry.metrics.appends.inc();
+            entry.store.append(&partition, &records, Some(fence)).await.map(drop)
+        }
+        result => result.map(drop),
+    }
+}
+
+/// Takes an epoch above all that the log has seen.
+async fn fence(entry: &Entry, index: u32, last: u64) -> Result<u64, StoreError> {
+    let mut epoch = entry.clock.now_ms().max(last + 1);
+    for _ in 0..MAX_EPOCHS {
+        match entry.store.fence(&partition(index), epoch).await {
+            Err(StoreError::Fenced) => epoch += EPOCH_STEP,
+            result => return result.map(|()| epoch),
+        }
+    }
+    Err(StoreError::Fenced)
+}
+
+async fn ask_to_yield(entry: &Arc<Entry>, index: u32, owner: &str) {
+    let view = entry.view();
+    let state = owner.parse().ok().and_then(|it: NodeName| view.get(&it).cloned());
+    let running = state.filter(|it| it.status < Status::Suspect && it.node != entry.settings.node);
+    let Some(running) = running else {
+        return;
+    };
+    let reply = entry.peers.ask(running.contact.peer, PeerRequest::Yield { shard: index }).await;
+    if let Err(error) = reply {
+        warn!(entry.logger, "shards: the former owner did not yield"; "shard" => index,
+            "owner" => owner, "error" => %error);
+    }
+}
+
+/// What a partition has told so far.
+#[derive(Default)]
+struct Seen {
+    next: u64,
+    epoch: u64,
+    owner: Option<String>,
+    is_released: bool,
+    records: usize,
+    ledger: Ledger,
+}
+
+/// Reads a partition to its end.
+async fn read_on(entry: &Entry, index: u32, seen: &mut Seen) -> Result<(), StoreError> {
+    let partition = partition(index);
+    loop {
+        let read = entry.store.read(&partition, seen.next, READ_BYTES, Duration::ZERO).await;
+        let read = match read {
+            Err(StoreError::Expired { first }) => {
+                seen.next = first;
+                continue;
+            }
+            read => read?,
+        };
+        for it in &read.entries {
+            seen.next = it.offset + 1;
+            seen.take(entry, index, &it.data);
+        }
+        if read.end <= seen.next || read.entries.is_empty() {
+            return Ok(());
+        }
+    }
+}
+
+impl Seen {
+    fn take(&mut self, entry: &Entry, index: u32, data: &[u8]) {
+        let record: LedgerRecord = match postcard::from_bytes(data) {
+            Ok(record) => record,
+            Err(error) => {
+                warn!(entry.logger, "shards: a record is not in the expected form";
+                    "shard" => index, "error" => %error);
+                return;
+            }
+        };
+        self.records += 1;
+        match &record {
+            LedgerRecord::Claim { epoch, owner } => {
+                self.epoch = *epoch;
+                self.owner = Some(owner.clone());
+                self.is_released = false;
+            }
+            LedgerRecord::Released => self.is_released = true,
+            LedgerRecord::Ceiling { .. } | LedgerRecord::Settled { .. } => (),
+        }
+        self.ledger.recover(&record);
+    }
+}
+
+fn encode(record: &LedgerRecord) -> bytes::Bytes {
+    postcard::to_stdvec(record).expect("a record serialises").into()
+}
+
+/// Stops granting for a shard and records its accounts, so that a successor knows them exactly.
+pub(crate) async fn release(entry: &Arc<Entry>, index: u32) {
+    let Some(shard) = entry.shards.owned().remove(&index) else {
+        return;
+    };
+    let records = shard.ledger().release();
+    let mut last = None;
+    for record in records {
+        last = Some(shard.record(record));
+    }
+    let is_recorded = match last {
+        Some(last) => matches!(timeout(RELEASE_TIME, last).await, Ok(Ok(true))),
+        None => true,
+    };
+    shard.is_lost.store(true, Ordering::Relaxed);
+    info!(entry.logger, "shards: released"; "shard" => index, "recorded" => is_recorded);
+}
+
+/// Releases the shards for which another node has become responsible.
+pub(crate) async fn release_foreign(entry: &Arc<Entry>) {
+    for (index, _) in entry.shards.all() {
+        if responsible_for(entry, index).as_ref() != Some(&entry.settings.node) {
+            release(entry, index).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/rosethread_entry/src/shards/writer.rs
@@ -0,0 +1,112 @@
+//! Group commit of one shard's records under its epoch.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use rosethread_platform::{Fence, Partition, StoreError};
+use slog::warn;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
+
+use crate::{entry::Entry, ledger::LedgerRecord, shards::encode};
+
+/// The most records in one append.
+const MAX_BATCH: usize = 512;
+
+/// The pause before an append is repeated that the store did not take.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// A record and who waits for it.
+struct Pending {
+    record: Bytes,
+    done: oneshot::Sender<bool>,
+}
+
+/// The way of one shard's records to the log.
+pub(super) struct Writer {
+    sender: mpsc::UnboundedSender<Pending>,
+}
+
+impl Writer {
+    /// Starts the task that appends; its first append has number 1, behind the claim.
+    pub(super) fn start(
+        entry: &Arc<Entry>,
+        index: u32,
+        partition: Partition,
+        epoch: u64,
+        is_lost: Arc<AtomicBool>,
+    ) -> Writer {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let appender = Appender { entry: entry.clone(), index, partition, epoch, is_lost };
+        entry.tasks.spawn(appender.run(receiver));
+        Writer { sender }
+    }
+
+    /// Queues a record.
+    pub(super) fn submit(&self, record: LedgerRecord) -> oneshot::Receiver<bool> {
+        let (done, receiver) = oneshot::channel();
+        // Without the task the shard is lost, and the dropped sender tells that.
+        let _ = self.sender.send(Pending { record: encode(&record), done });
+        receiver
+    }
+}
+
+struct Appender {
+    entry: Arc<Entry>,
+    index: u32,
+    partition: Partition,
+    epoch: u64,
+    is_lost: Arc<AtomicBool>,
+}
+
+impl Appender {
+    async fn run(self, mut receiver: mpsc::UnboundedReceiver<Pending>) {
+        let mut number = 1;
+        let mut batch = Vec::new();
+        while receiver.recv_many(&mut batch, MAX_BATCH).await != 0 {
+            let (records, waiting): (Vec<Bytes>, Vec<_>) =
+                batch.drain(..).map(|it| (it.record, it.done)).unzip();
+            let fence = Fence { epoch: self.epoch, number };
+            let is_done = self.append(&records, fence).await;
+            for it in waiting {
+                // Whoever queued the record may not wait for it.
+                let _ = it.send(is_done);
+            }
+            if !is_done {
+                self.is_lost.store(true, Ordering::Relaxed);
+                return;
+            }
+            number += 1;
+        }
+    }
+
+    /// Appends until the log has taken the records; returns false if the shard is lost.
+    async fn append(&self, records: &[Bytes], fence: Fence) -> bool {
+        let entry = &self.entry;
+        loop {
+            entry.metrics.appends.inc();
+            let error = match entry.store.append(&self.partition, records, Some(fence)).await {
+                Ok(_) => return true,
+                // An earlier sending of these records has been taken.
+                Err(StoreError::OutOfOrder { expected }) if expected == fence.number + 1 => {
+                    return true;
+                }
+                Err(error) => error,
+            };
+            if !error.is_away() || self.is_lost.load(Ordering::Relaxed) {
+                warn!(entry.logger, "shards: lost"; "shard" => self.index, "epoch" => fence.epoch,
+                    "error" => %error);
+                return false;
+            }
+            sleep(RETRY).await;
+        }
+    }
+}
--- a/crates/rosethread_membership/src/detector.rs
+++ b/crates/rosethread_membership/src/detector.rs
@@ -139,6 +139,14 @@
         self.peers.insert(node, Peer { state, since: now, spread: SPREAD });
     }
 
+    /// Returns a ping to a host of which no more than the address is known.
+    ///
+    /// Its answer carries its report, by which it becomes known; a host that is gone never does.
+    pub fn greet(&mut self, to: SocketAddr) -> Outgoing {
+        self.number += 1;
+        self.outgoing(to, Kind::Ping, self.number)
+    }
+
     /// Takes note that the platform's host list says `node` is leaving, which wins for new work.
     pub fn mark_leaving(&mut self, now: Duration, node: &NodeName) {
         if let Some(peer) = self.peers.get_mut(node)
--- a/crates/rosethread_node/src/api/problem.rs
+++ b/crates/rosethread_node/src/api/problem.rs
@@ -66,7 +66,9 @@
         Reason::BadRequest | Reason::BadContinuation => StatusCode::BAD_REQUEST,
         Reason::Unauthorized => StatusCode::UNAUTHORIZED,
         Reason::Forbidden => StatusCode::FORBIDDEN,
-        Reason::UnknownProgram => StatusCode::NOT_FOUND,
+        Reason::UnknownProgram | Reason::UnknownRoute | Reason::UnknownTurn => {
+            StatusCode::NOT_FOUND
+        }
         Reason::ProgramEnded => StatusCode::GONE,
         Reason::StaleTurn
         | Reason::EarlyTurn
--- a/crates/rosethread_node/src/control.rs
+++ b/crates/rosethread_node/src/control.rs
@@ -4,14 +4,17 @@
 
 pub(crate) mod config;
 mod hosts;
-mod members;
 mod periodic;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+
+use rosethread_config::KeySettings;
+use rosethread_membership::{AuthKeys, DetectorConfig};
+use rosethread_runtime::{MembersParts, start_members};
 
 use crate::core::Core;
 
-pub(crate) use members::{Leave, Members};
+pub(crate) use rosethread_runtime::{Leave, Members};
 
 /// References to the control actors, for messages to them.
 #[derive(Clone)]
@@ -21,9 +24,30 @@
 
 /// Starts all control actors and their timers.
 pub(crate) fn start(core: &Arc<Core>) -> Control {
-    let members = members::start(core);
+    let members = start_members(members_parts(core), &core.random);
     hosts::start(core, members.clone());
     config::start(core);
     periodic::start(core, members.clone());
     Control { members }
 }
+
+fn members_parts(core: &Arc<Core>) -> MembersParts {
+    let settings = &core.settings;
+    MembersParts {
+        node: core.me().clone(),
+        incarnation: core.incarnation,
+        contact: core.contact(),
+        config: DetectorConfig {
+            period: Duration::from_millis(settings.membership.period_ms),
+            suspicion: Duration::from_millis(settings.membership.suspicion_ms),
+        },
+        keys: AuthKeys::new(KeySettings::decode(&settings.keys.shared)),
+        clock: core.clock,
+        tasks: core.tasks.clone(),
+        timer: core.timer.clone(),
+        datagrams: core.datagrams.clone(),
+        view: core.view.clone(),
+        suspicions: core.suspicions.clone(),
+        logger: core.logger.clone(),
+    }
+}
--- a/crates/rosethread_node/src/control/config.rs
+++ b/crates/rosethread_node/src/control/config.rs
@@ -9,10 +9,11 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
+use rosethread_runtime::Tick;
+
 use crate::{
     core::Core,
     peers::{PeerReply, PeerRequest},
-    timer::Tick,
 };
 
 /// The longest wait of one read.
--- a/crates/rosethread_node/src/control/hosts.rs
+++ b/crates/rosethread_node/src/control/hosts.rs
@@ -3,12 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use kameo::actor::ActorRef;
+use rosethread_membership::Contact;
+use rosethread_platform::{HostEntry, HostState};
+use rosethread_runtime::{Listed, Members, Tick};
 
-use crate::{
-    control::members::{Listed, Members},
-    core::Core,
-    timer::Tick,
-};
+use crate::core::Core;
 
 /// The time between two reads of the host list.
 const PERIOD: Duration = Duration::from_secs(2);
@@ -20,7 +19,7 @@
         let mut ticks = core.timer.every(PERIOD);
         loop {
             if let Some(hosts) = core.hosts.hosts().await
-                && members.tell(Listed(hosts)).await.is_err()
+                && members.tell(listed(hosts)).await.is_err()
             {
                 return;
             }
@@ -30,3 +29,20 @@
         }
     });
 }
+
+fn listed(hosts: Vec<HostEntry>) -> Listed {
+    let mut listed = Listed::default();
+    for host in hosts {
+        if host.state == HostState::Leaving {
+            listed.leaving.push(host.node.clone());
+        }
+        let contact = Contact {
+            zone: host.zone,
+            caller: host.caller,
+            peer: host.peer,
+            heartbeat: host.heartbeat,
+        };
+        listed.contacts.push((host.node, contact));
+    }
+    listed
+}
--- a/crates/rosethread_node/src/control/periodic.rs
+++ b/crates/rosethread_node/src/control/periodic.rs
@@ -10,12 +10,9 @@
 use rosethread_membership::{Summary, TargetLoad, View, target_owner};
 use rosethread_platform::TargetAddress;
 
-use crate::{
-    control::members::{Members, SetSummary},
-    core::Core,
-    owner,
-    timer::Tick,
-};
+use rosethread_runtime::{Members, SetSummary, Tick};
+
+use crate::{core::Core, owner};
 
 /// The time between two updates of this node's summary.
 const SUMMARY_PERIOD: Duration = Duration::from_millis(200);
@@ -84,6 +81,8 @@
 
 fn update_gauges(core: &Core) {
     let stats = core.journal.stats();
+    core.metrics.nodes_alive.set(core.view().live().count() as i64);
+    core.metrics.suspicions.set(core.suspicions.load(Ordering::Relaxed) as i64);
     core.metrics.programs_owned.set(core.owned_count() as i64);
     core.metrics.journal_queued.set(core.journal.queued_bytes() as i64);
     core.metrics.journal_appends.set(stats.appends as i64);
@@ -113,7 +112,7 @@
         let reads = engines.map(|it| async {
             let address = TargetAddress { name: it.name.clone(), address: it.address };
             if let Ok(load) = core.targets.load(&address).await {
-                core.dispatch.update_health(&it.name, |health| health.load = load);
+                core.dispatch.update_health(&it.name, |it| it.pressure = load.pressure());
             }
         });
         futures::future::join_all(reads).await;
--- a/crates/rosethread_node/src/core.rs
+++ b/crates/rosethread_node/src/core.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -14,20 +14,14 @@
 use rosethread_membership::{Contact, View};
 use rosethread_platform::{Clock, HostList, LogService, Targets};
 use rosethread_program::{SealKey, SealKeys};
+use rosethread_runtime::{Datagrams, Random, Tasks, Timer};
 use rosethread_types::{Incarnation, NodeName, ProgramId, Reason, Refusal};
 use slog::Logger;
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    dispatch::Dispatch,
-    limits::MemberLimits,
-    metrics::Metrics,
-    owner::Owned,
-    peers::{Datagrams, Peers},
-    random::Random,
+    dispatch::Dispatch, limits::MemberLimits, metrics::Metrics, owner::Owned, peers::Peers,
     slo::Objectives,
-    tasks::Tasks,
-    timer::Timer,
 };
 
 /// Everything that a node is built from.
@@ -85,6 +79,8 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) document: watch::Sender<Arc<InForce>>,
     pub(crate) view: watch::Sender<Arc<View>>,
+    /// Suspicions that membership has raised since the start.
+    pub(crate) suspicions: Arc<AtomicU64>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) dispatch: Dispatch,
     pub(crate) limits: MemberLimits,
@@ -129,6 +125,7 @@
             incarnation,
             document: watch::Sender::new(Arc::default()),
             view: watch::Sender::new(Arc::default()),
+            suspicions: Arc::default(),
             phase: watch::Sender::new(Phase::Serving),
             dispatch: Dispatch::default(),
             limits: MemberLimits::default(),
--- a/crates/rosethread_node/src/dispatch.rs
+++ b/crates/rosethread_node/src/dispatch.rs
@@ -5,7 +5,6 @@
 //! itself, so tokens never pass through a third node.
 
 mod acquire;
-mod health;
 mod slots;
 
 use std::{
@@ -13,10 +12,10 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
+use rosethread_policy::Health;
 use rosethread_types::TargetName;
 
 pub(crate) use acquire::{Held, acquire, grant_lease, release_lease, sweep_leases};
-pub(crate) use health::Health;
 use serde::{Deserialize, Serialize};
 pub use slots::Ticket;
 pub(crate) use slots::{Permit, Slots};
--- a/crates/rosethread_node/src/lib.rs
+++ b/crates/rosethread_node/src/lib.rs
@@ -18,12 +18,9 @@
 mod owner;
 mod peers;
 mod process;
-mod random;
 mod route;
 mod signal;
 mod slo;
-mod tasks;
-mod timer;
 
 pub use call::{Answer, Call, CallEvent, Close, Create, Created, ProgramStatus, Work};
 pub use core::Parts;
@@ -31,11 +28,6 @@
 pub use feed::{CallStream, Diverged, Feed, FeedReader, Splice};
 pub use metrics::Metrics;
 pub use node::{Draining, Location, Node, NodeHandle, Serving, Stopped};
-pub use peers::{
-    Datagrams, DocumentReply, HttpPeers, PeerError, PeerReply, PeerRequest, Peers, UdpDatagrams,
-    serve_peers,
-};
+pub use peers::{DocumentReply, HttpPeers, PeerError, PeerReply, PeerRequest, Peers, serve_peers};
 pub use process::{NodeProcess, StartError};
-pub use random::Random;
-pub use tasks::Tasks;
-pub use timer::{Tick, Timer};
+pub use rosethread_runtime::{Datagrams, Random, Tasks, Tick, Timer, UdpDatagrams};
--- a/crates/rosethread_node/src/owner/place.rs
+++ b/crates/rosethread_node/src/owner/place.rs
@@ -4,10 +4,13 @@
 
 use rosethread_config::{Class, Document, Target, TargetState};
 use rosethread_membership::{View, target_owner};
-use rosethread_policy::{Candidate, Request, Weights, place};
+use rosethread_policy::{Candidate, Health, Request, Weights, place};
 use rosethread_types::{MemberName, ModelName, Reason, Refusal, ServiceName, TargetName, Tokens};
 
-use crate::{call::Create, core::Core, dispatch::Health, owner::strategy};
+use crate::{call::Create, core::Core, owner::strategy};
+
+/// By how much a full batch slows its sequences down; the stand-in engines' steps grow by as much.
+const BATCH_CROWDING: f64 = 0.05;
 
 /// The extra time to reach a target in another availability zone, in seconds.
 const ZONE_DISTANCE_S: f64 = 0.001;
@@ -120,10 +123,11 @@
         running: running.max(health.outstanding),
         waiting,
         cached: cached.map_or(0, |(_, tokens)| *tokens),
-        pressure: health.pressure(),
+        pressure: health.pressure,
         prefill_rate: target.engine().map_or(f64::MAX, |it| f64::from(it.prefill_rate)),
         service_s: health.service_s,
         distance_s: if is_near { 0.0 } else { ZONE_DISTANCE_S },
+        crowding: BATCH_CROWDING,
         is_broken: health.breaker.is_open(core.now()),
     }
 }
--- a/crates/rosethread_node/src/owner/run.rs
+++ b/crates/rosethread_node/src/owner/run.rs
@@ -450,7 +450,7 @@
         return;
     };
     let is_adaptive = strategy(&core.document.borrow().document) == Strategy::Adaptive;
-    let pressure = core.dispatch.update_health(&target.name, |it| it.pressure());
+    let pressure = core.dispatch.update_health(&target.name, |it| it.pressure);
     if !is_adaptive || pressure < HOLD_PRESSURE {
         return;
     }
--- a/crates/rosethread_node/src/peers.rs
+++ b/crates/rosethread_node/src/peers.rs
@@ -6,7 +6,6 @@
 mod envelope;
 mod http;
 mod rpc;
-mod udp;
 
 use async_trait::async_trait;
 use displaydoc::Display;
@@ -22,7 +21,6 @@
 };
 
 pub use http::{HttpPeers, serve_peers};
-pub use udp::UdpDatagrams;
 
 /// Why another node gave no reply.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -120,13 +118,3 @@
     /// Forwards a call.
     async fn call(&self, to: &Contact, call: Call) -> Result<CallStream, PeerError>;
 }
-
-/// The way to other nodes, for heartbeats.
-#[async_trait]
-pub trait Datagrams: Send + Sync {
-    /// Sends a datagram; it may get lost.
-    async fn send(&self, to: std::net::SocketAddr, bytes: Vec<u8>);
-
-    /// Waits for the next datagram.
-    async fn receive(&self) -> Vec<u8>;
-}
--- a/crates/rosethread_node/src/peers/http.rs
+++ b/crates/rosethread_node/src/peers/http.rs
@@ -30,6 +30,8 @@
 use rosethread_platform::Clock;
 use tokio::{net::TcpListener, sync::mpsc};
 
+use rosethread_runtime::Random;
+
 use crate::{
     call::{Call, CallEvent},
     feed::CallStream,
@@ -40,7 +42,6 @@
         rpc,
     },
     process::no_delay,
-    random::Random,
 };
 
 /// The largest message between nodes, in bytes; a handover carries a whole history.
--- a/crates/rosethread_platform/src/target.rs
+++ b/crates/rosethread_platform/src/target.rs
@@ -97,6 +97,13 @@
     pub misses: Tokens,
 }
 
+impl EngineLoad {
+    /// Returns the share of the cache memory in use, from 0 to 1.
+    pub fn pressure(&self) -> f64 {
+        self.used as f64 / self.memory.max(1) as f64
+    }
+}
+
 /// What to do with a program's cache at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/rosethread_policy/src/lib.rs
+++ b/crates/rosethread_policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod breaker;
+mod health;
 mod moves;
 mod order;
 mod pause;
@@ -17,6 +18,7 @@
 
 pub use admission::{Demand, Forecast, judge};
 pub use breaker::{Breaker, BreakerConfig};
+pub use health::Health;
 pub use moves::{Load, Move, plan_emptying};
 pub use order::{Shares, Waiting, pick};
 pub use pause::{PauseChoice, PauseCost, choose_pause};
--- a/crates/rosethread_policy/src/place.rs
+++ b/crates/rosethread_policy/src/place.rs
@@ -26,6 +26,8 @@
     pub service_s: f64,
     /// Time for a request to reach the target, in seconds.
     pub distance_s: f64,
+    /// By how much a full batch slows each of its sequences down, as a share of `service_s`.
+    pub crowding: f64,
     /// Whether the target fails at present.
     pub is_broken: bool,
 }
@@ -142,7 +144,7 @@
     let slots = f64::from(candidate.slots.max(1));
     let ahead = f64::from(candidate.running + candidate.waiting);
     let queued = (ahead + 1.0 - slots).max(0.0);
-    let crowding = 0.05 * (ahead / slots).min(1.0);
+    let crowding = candidate.crowding * (ahead / slots).min(1.0);
     candidate.service_s * (queued / slots + crowding)
 }
 
--- a/crates/rosethread_policy/tests/decisions.rs
+++ b/crates/rosethread_policy/tests/decisions.rs
@@ -29,6 +29,7 @@
         prefill_rate: 8_000.0,
         service_s: 0.5,
         distance_s: 0.0,
+        crowding: 0.05,
     });
     proptest::collection::vec(one, 0..20)
 }
--- a/crates/rosethread_node/src/peers/udp.rs
+++ b/crates/rosethread_runtime/src/datagrams.rs
@@ -6,7 +6,15 @@
 use rosethread_membership::MAX_DATAGRAM;
 use tokio::net::UdpSocket;
 
-use crate::peers::Datagrams;
+/// The way to other nodes, for heartbeats.
+#[async_trait]
+pub trait Datagrams: Send + Sync {
+    /// Sends a datagram; it may get lost.
+    async fn send(&self, to: SocketAddr, bytes: Vec<u8>);
+
+    /// Waits for the next datagram.
+    async fn receive(&self) -> Vec<u8>;
+}
 
 /// A UDP socket for heartbeats.
 pub struct UdpDatagrams {
--- /dev/null
+++ b/crates/rosethread_runtime/src/lib.rs
@@ -0,0 +1,16 @@
+//! What every kind of node runs on: tasks, one timer, randomness, and membership over datagrams.
+//!
+//! Nothing here knows calls, programs or targets. `rosethread_node` and `rosethread_entry` build on
+//! it, so both are paused, killed and seeded in tests in the same way.
+
+mod datagrams;
+mod members;
+mod random;
+mod tasks;
+mod timer;
+
+pub use datagrams::{Datagrams, UdpDatagrams};
+pub use members::{Greet, Leave, Listed, Members, MembersParts, SetSummary, start_members};
+pub use random::Random;
+pub use tasks::Tasks;
+pub use timer::{Tick, Timer};
--- a/crates/rosethread_node/src/timer.rs
+++ b/crates/rosethread_runtime/src/timer.rs
@@ -14,7 +14,7 @@
     time::{Instant, sleep_until},
 };
 
-use crate::tasks::Tasks;
+use crate::Tasks;
 
 /// A tick; a slow subscriber finds at most one waiting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/rosethread_types/src/id.rs
+++ b/crates/rosethread_types/src/id.rs
@@ -1,6 +1,6 @@
 //! Identifiers of programs, requests, attempts and process incarnations.
 
-use std::{fmt, str::FromStr};
+use std::{fmt, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -66,64 +66,85 @@
     }
 }
 
-/// The caller's identifier of one call, unique within its program.
-///
-/// Retries of a call carry the same identifier, which is what makes them idempotent.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
-pub struct RequestId(std::sync::Arc<str>);
-
-/// The longest accepted request identifier, in bytes.
-const MAX_REQUEST_ID_BYTES: usize = 64;
+/// The longest accepted label, in bytes.
+const MAX_LABEL_BYTES: usize = 64;
 
-impl RequestId {
-    /// Returns the identifier as text.
-    pub fn as_str(&self) -> &str {
-        &self.0
+/// Checks that a label can be logged and sent as it is.
+fn check_label(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
     }
+    if MAX_LABEL_BYTES < text.len() {
+        return Err(NameError::TooLong);
+    }
+    if !text.bytes().all(|it| it.is_ascii_graphic()) {
+        return Err(NameError::BadCharacter);
+    }
+    Ok(())
 }
 
-impl FromStr for RequestId {
-    type Err = NameError;
-
-    fn from_str(text: &str) -> Result<RequestId, NameError> {
-        if text.is_empty() {
-            return Err(NameError::Empty);
+macro_rules! label_type {
+    ($($(#[doc = $doc:literal])* $name:ident;)*) => {$(
+        $(#[doc = $doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the label as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
         }
-        if MAX_REQUEST_ID_BYTES < text.len() {
-            return Err(NameError::TooLong);
-        }
-        if !text.bytes().all(|it| it.is_ascii_graphic()) {
-            return Err(NameError::BadCharacter);
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<$name, NameError> {
+                check_label(text)?;
+                Ok($name(text.into()))
+            }
         }
-        Ok(RequestId(text.into()))
-    }
-}
 
-impl TryFrom<String> for RequestId {
-    type Error = NameError;
+        impl TryFrom<String> for $name {
+            type Error = NameError;
 
-    fn try_from(text: String) -> Result<RequestId, NameError> {
-        text.parse()
-    }
-}
+            fn try_from(text: String) -> Result<$name, NameError> {
+                text.parse()
+            }
+        }
 
-impl From<RequestId> for String {
-    fn from(id: RequestId) -> String {
-        id.0.as_ref().to_owned()
-    }
-}
+        impl From<$name> for String {
+            fn from(label: $name) -> String {
+                label.0.as_ref().to_owned()
+            }
+        }
 
-impl fmt::Display for RequestId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
 }
 
-impl fmt::Debug for RequestId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
+label_type! {
+    /// The caller's identifier of one call, unique within its program.
+    ///
+    /// Retries of a call carry the same identifier, which is what makes them idempotent.
+    RequestId;
+    /// The caller's name for a program that is begun by its first call.
+    ProgramLabel;
+    /// The caller's name for one line of turns within a program.
+    SessionLabel;
+    /// A part of a prompt; prompts that begin with the same parts share an engine's cache.
+    PromptPart;
 }
 
 /// The identifier of one attempt at a target.
--- a/crates/rosethread_types/src/lib.rs
+++ b/crates/rosethread_types/src/lib.rs
@@ -12,7 +12,9 @@
 mod position;
 
 pub use digest::Digest;
-pub use id::{AttemptId, Incarnation, ProgramId, RequestId};
+pub use id::{
+    AttemptId, Incarnation, ProgramId, ProgramLabel, PromptPart, RequestId, SessionLabel,
+};
 pub use name::{
     ClassName, MemberName, ModelName, NameError, NodeName, ServiceName, StreamName, TargetName,
     ZoneName,
--- a/crates/rosethread_types/src/outcome.rs
+++ b/crates/rosethread_types/src/outcome.rs
@@ -67,6 +67,10 @@
     Leaving,
     /// no document is in force
     NoDocument,
+    /// no route matches the request
+    UnknownRoute,
+    /// the previous turn is not known
+    UnknownTurn,
     /// an earlier attempt at this request left no outcome
     OutcomeUnknown,
 }
