--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -42,6 +42,8 @@
     pub(crate) deadline: Instant,
     /// The body for the target: all that was said before, and the call's own.
     pub(crate) body: Bytes,
+    /// Whether the turn before is kept with another program, so that this one begins a new chain.
+    pub(crate) is_root: bool,
     /// The shard of the call's program; zero without one.
     pub(crate) shard: u32,
     /// The target that most likely caches the prompt.
@@ -70,7 +72,7 @@
         let time = call.time.unwrap_or(LONGEST).min(route.timeout);
         let deadline = call.arrived + time;
         let shard = call.program.as_ref().map_or(0, |it| shard_of(entry, &it.program));
-        let body = whole_body(entry, &call, &route, shard, deadline).await?;
+        let (body, is_root) = whole_body(entry, &call, &route, shard, deadline).await?;
         let admitted = admit(entry, &call, &route, shard, deadline).await?;
         Ok(Job {
             entry: entry.clone(),
@@ -83,6 +85,7 @@
             service,
             deadline,
             body,
+            is_root,
             shard,
         })
     }
@@ -141,29 +144,29 @@
     }
 }
 
-/// Returns the body for the target.
+/// Returns the body for the target, and whether it begins a chain.
 async fn whole_body(
     entry: &Arc<Entry>,
     call: &Call,
     route: &Route,
     shard: u32,
     deadline: Instant,
-) -> Result<Bytes, Refusal> {
+) -> Result<(Bytes, bool), Refusal> {
     if route.history.is_none() {
-        return Ok(call.body.clone());
+        return Ok((call.body.clone(), true));
     }
     if call.resume_after.is_some() {
         let detail = "the events before the interruption are not kept, so the turn cannot go on";
         return Err(Refusal::not_run(Reason::HistoryNeeded, detail).retry_after(ROUTES_RETRY));
     }
     let Some(previous) = &call.previous else {
-        return Ok(call.body.clone());
+        return Ok((call.body.clone(), true));
     };
     let said = history::chain(entry, shard, previous, deadline).await?;
-    let mut body = BytesMut::with_capacity(said.len() + call.body.len());
-    body.extend_from_slice(&said);
+    let mut body = BytesMut::with_capacity(said.text.len() + call.body.len());
+    body.extend_from_slice(&said.text);
     body.extend_from_slice(&call.body);
-    Ok(body.freeze())
+    Ok((body.freeze(), said.is_foreign))
 }
 
 /// What the owner of a call's program has decided.
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -28,6 +28,7 @@
             revision: entry.routes().revision,
             calls: entry.calls.load(Ordering::Relaxed),
             programs: 0,
+            has_log: entry.has_log(),
             targets: entry.loads.summary(),
         };
         entry.metrics.nodes.set(entry.view().live().count() as i64);
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -28,6 +28,9 @@
     shards::Shards,
 };
 
+/// The time without an answer of the store after which shards go to hosts that reach it.
+const LOG_AGE: Duration = Duration::from_millis(1_600);
+
 /// Everything that an entry is built from.
 pub struct Parts {
     /// The process's own settings.
@@ -87,6 +90,8 @@
     pub(crate) targets: watch::Sender<Arc<BTreeMap<TargetName, Target>>>,
     /// When the targets were read last, in milliseconds since the start.
     pub(crate) targets_read: AtomicU64,
+    /// When the store answered last, in milliseconds since the start; zero before its first answer.
+    log_seen: AtomicU64,
     pub(crate) view: watch::Sender<Arc<View>>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) loads: Loads,
@@ -107,6 +112,7 @@
             registry: Mutex::default(),
             targets: watch::Sender::new(Arc::default()),
             targets_read: AtomicU64::new(0),
+            log_seen: AtomicU64::new(0),
             view: watch::Sender::new(Arc::default()),
             phase: watch::Sender::new(Phase::Serving),
             loads: Loads::default(),
@@ -176,6 +182,21 @@
         self.view.borrow().clone()
     }
 
+    /// Tells whether the store has answered lately.
+    pub(crate) fn has_log(&self) -> bool {
+        self.log_seen.load(Ordering::Relaxed) != 0 && self.log_age() < LOG_AGE
+    }
+
+    fn log_age(&self) -> Duration {
+        let seen = Duration::from_millis(self.log_seen.load(Ordering::Relaxed));
+        self.now().saturating_sub(seen)
+    }
+
+    /// Takes note that the store has just answered.
+    pub(crate) fn see_log(&self) {
+        self.log_seen.store(self.now().as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Returns the time since the start.
     pub(crate) fn now(&self) -> Duration {
         self.start.elapsed()
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -2,15 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rosethread_types::{Reason, Refusal};
+use rosethread_types::{NodeName, Reason, Refusal};
 use slog::{debug, warn};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     entry::Entry,
-    ledger::{Ask, LedgerRecord, Settlement, Verdict},
+    ledger::{Ask, Settlement, Verdict},
     peers::{PeerReply, PeerRequest},
-    shards::{self, Shard, responsible_for},
+    shards::{self, Shard, candidates_for, responsible_for},
 };
 
 /// The longest wait for an owner's decision before the turn is refused.
@@ -64,14 +64,27 @@
 }
 
 async fn ask_once(entry: &Arc<Entry>, shard: u32, ask: &Ask) -> Result<Verdict, String> {
-    let Some(owner) = responsible_for(entry, shard) else {
-        return Err("no node is known".to_owned());
-    };
-    if owner == entry.settings.node {
+    let mut reasons = Vec::new();
+    for owner in candidates_for(entry, shard) {
+        match ask_owner(entry, shard, &owner, ask).await {
+            Ok(verdict) => return Ok(verdict),
+            Err(reason) => reasons.push(reason),
+        }
+    }
+    Err(reasons.join("; "))
+}
+
+async fn ask_owner(
+    entry: &Arc<Entry>,
+    shard: u32,
+    owner: &NodeName,
+    ask: &Ask,
+) -> Result<Verdict, String> {
+    if *owner == entry.settings.node {
         return decide(entry, shard, ask).await;
     }
     let view = entry.view();
-    let contact = view.get(&owner).ok_or("the owner is not known")?.contact.peer;
+    let contact = view.get(owner).ok_or("the owner is not known")?.contact.peer;
     match entry.peers.ask(contact, PeerRequest::Ask { shard, ask: ask.clone() }).await {
         Ok(PeerReply::Verdict(verdict)) => Ok(verdict),
         Ok(PeerReply::Unable(reason)) => Err(format!("{owner}: {reason}")),
@@ -103,7 +116,8 @@
 
 /// Records a higher ceiling and waits for it.
 async fn record(shard: &Shard, ask: &Ask, tokens: u64) -> Result<(), String> {
-    let receiver = shard.record(ceiling(ask, ask.budget, tokens));
+    let ceiling = shard.ledger().ceiling(&ask.program, tokens);
+    let receiver = shard.record(ceiling);
     match timeout(RECORD_TIME, receiver).await {
         Ok(Ok(true)) => {
             shard.ledger().recorded(&ask.program, tokens);
@@ -114,17 +128,16 @@
     }
 }
 
-fn ceiling(ask: &Ask, budget: u64, tokens: u64) -> LedgerRecord {
-    LedgerRecord::Ceiling { program: ask.program.clone(), budget, tokens }
-}
-
 /// Records the ceiling that the program's next turn will need, without waiting.
 fn record_ahead(entry: &Arc<Entry>, shard: &Arc<Shard>, ask: &Ask) {
-    let planned = shard.ledger().ahead(&ask.program, ask.tokens);
-    let Some((budget, tokens)) = planned else {
-        return;
+    let (tokens, ceiling) = {
+        let mut ledger = shard.ledger();
+        let Some(tokens) = ledger.ahead(&ask.program, ask.tokens) else {
+            return;
+        };
+        (tokens, ledger.ceiling(&ask.program, tokens))
     };
-    let receiver = shard.record(ceiling(ask, budget, tokens));
+    let receiver = shard.record(ceiling);
     let (shard, program) = (shard.clone(), ask.program.clone());
     entry.tasks.spawn(async move {
         match receiver.await {
--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -10,6 +10,7 @@
 };
 
 use bytes::Bytes;
+use futures::future::join_all;
 use rosethread_platform::{Partition, StoreError};
 use rosethread_types::{Reason, Refusal, RequestId, StreamName};
 use serde::{Deserialize, Serialize};
@@ -99,17 +100,32 @@
     Partition { topic, index }
 }
 
-/// Returns everything that was said up to `turn`, from here or from the responsible host.
+/// Everything that was said up to a turn.
+pub(crate) struct Said {
+    pub(crate) text: Bytes,
+    /// Whether it is kept in another shard than that of the program which goes on from it.
+    pub(crate) is_foreign: bool,
+}
+
+/// Returns everything that was said up to `turn`.
+///
+/// A program usually goes on from a turn of its own, which lies in its shard. Where it does not,
+/// all shards are asked.
 pub(crate) async fn chain(
     entry: &Arc<Entry>,
     shard: u32,
     turn: &RequestId,
     deadline: Instant,
-) -> Result<Bytes, Refusal> {
+) -> Result<Said, Refusal> {
     let until = deadline.min(Instant::now() + CHAIN_TIME);
     loop {
-        let reason = match chain_once(entry, shard, turn).await {
-            PeerReply::Chain(text) => return Ok(text),
+        let reply = match chain_once(entry, shard, turn).await {
+            PeerReply::Chain(text) => return Ok(Said { text, is_foreign: false }),
+            PeerReply::NoTurn => search(entry, shard, turn).await,
+            reply => reply,
+        };
+        let reason = match reply {
+            PeerReply::Chain(text) => return Ok(Said { text, is_foreign: true }),
             PeerReply::NoTurn => {
                 let detail = format!("no turn {turn} is kept");
                 return Err(Refusal::not_run(Reason::UnknownTurn, detail));
@@ -126,6 +142,22 @@
     }
 }
 
+/// Looks for a turn in all shards but one.
+async fn search(entry: &Arc<Entry>, except: u32, turn: &RequestId) -> PeerReply {
+    let others = (0..entry.settings.platform.partitions).filter(|it| *it != except);
+    let replies = join_all(others.map(|it| chain_once(entry, it, turn))).await;
+    let mut result = PeerReply::NoTurn;
+    for reply in replies {
+        match reply {
+            PeerReply::Chain(text) => return PeerReply::Chain(text),
+            PeerReply::NoTurn => (),
+            // One shard that cannot tell leaves it open whether there is such a turn.
+            reply => result = reply,
+        }
+    }
+    result
+}
+
 async fn chain_once(entry: &Arc<Entry>, shard: u32, turn: &RequestId) -> PeerReply {
     let contact = match responsible_for(entry, shard) {
         Some(owner) if owner != entry.settings.node => {
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -2,23 +2,21 @@
 //!
 //! A program's owner grants tokens before a turn runs, and never more than its *ceiling*. Up to a
 //! first part of the budget the ceiling needs no record; beyond it the owner records a higher one
-//! ahead of need. A successor knows the records but not what was granted below the ceilings, so it
-//! counts each ceiling as spent in full. No clock and no answer from the log decides how much a
-//! program may spend. See `docs/design/platform.md`.
+//! ahead of need, one turn at a time. A successor knows the records but not what was granted below
+//! the ceilings, so it counts each ceiling as spent in full; of what it counts without knowing, the
+//! most of one turn may exceed the budget, as users allow. No clock and no answer from the log
+//! decides how much a program may spend. See `docs/design/platform.md`.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use rosethread_types::{ProgramLabel, RequestId, SessionLabel, TargetName, Tokens};
 use serde::{Deserialize, Serialize};
 
-/// The part of a budget that each owner may grant without a record: one in this many.
-const UNRECORDED_PART: Tokens = 4;
-
-/// The owners in a row that may grant without records; later ones record first.
-const UNRECORDED_OWNERS: u64 = 3;
-
-/// The turns' worth of tokens by which a recorded ceiling exceeds what is granted.
-const AHEAD_TURNS: Tokens = 3;
+/// The part of a budget, one in this many, that a shard's first owner may grant without a record.
+///
+/// A successor counts as much against each program that it does not know. Turns use about half of
+/// what they may, so a third of the budget is what programs can do without.
+const UNRECORDED_PART: Tokens = 3;
 
 /// The sessions of a program whose last targets are remembered.
 const MAX_SESSIONS: usize = 32;
@@ -87,6 +85,8 @@
         program: ProgramLabel,
         /// Its budget.
         budget: Tokens,
+        /// What of them is certainly spent.
+        spent: Tokens,
         /// The tokens.
         tokens: Tokens,
     },
@@ -128,6 +128,13 @@
     fn committed(&self) -> Tokens {
         self.spent + self.uncertain + self.open.values().sum::<Tokens>()
     }
+
+    /// Returns what may be committed in all when a turn asks for `turn` tokens.
+    ///
+    /// What is only counted because nobody knows may exceed the budget by the most of one turn.
+    fn limit(&self, turn: Tokens) -> Tokens {
+        self.budget + self.uncertain.min(turn)
+    }
 }
 
 /// The accounts of one shard at its owner; time is the duration since the process's start.
@@ -144,9 +151,10 @@
         match record {
             LedgerRecord::Claim { .. } => self.earlier += 1,
             LedgerRecord::Released => self.earlier = self.earlier.saturating_sub(1),
-            LedgerRecord::Ceiling { program, budget, tokens } => {
+            LedgerRecord::Ceiling { program, budget, spent, tokens } => {
                 let account = self.accounts.entry(program.clone()).or_default();
                 account.budget = *budget;
+                account.spent = account.spent.max(*spent);
                 account.ceiling = account.ceiling.max(*tokens);
                 account.uncertain = account.ceiling.saturating_sub(account.spent);
                 account.is_underway = true;
@@ -172,11 +180,14 @@
         self.accounts.is_empty()
     }
 
-    fn open_account(&self, budget: Tokens) -> Account {
-        let part = budget / UNRECORDED_PART;
-        let uncertain = part * self.earlier;
-        let ceiling = if self.earlier < UNRECORDED_OWNERS { uncertain + part } else { uncertain };
-        Account { budget, uncertain, ceiling: ceiling.min(budget), ..Account::default() }
+    /// Returns the account of a program that is not known.
+    ///
+    /// Only a first owner grants without records, so however many owners came before, they granted
+    /// such a program no more than the unrecorded part.
+    fn open_account(&self, ask: &Ask) -> Account {
+        let part = (ask.budget / UNRECORDED_PART).max(ask.tokens).min(ask.budget);
+        let uncertain = if self.earlier == 0 { 0 } else { part };
+        Account { budget: ask.budget, uncertain, ceiling: part, ..Account::default() }
     }
 
     /// Decides whether a turn may run, and holds its tokens if so.
@@ -184,7 +195,7 @@
     /// The same call asking again keeps its grant.
     pub fn ask(&mut self, ask: &Ask, now: Duration) -> Verdict {
         if !self.accounts.contains_key(&ask.program) {
-            let account = self.open_account(ask.budget);
+            let account = self.open_account(ask);
             self.accounts.insert(ask.program.clone(), account);
         }
         let account = self.accounts.get_mut(&ask.program).expect("the account was just opened");
@@ -195,13 +206,12 @@
             return Verdict::Granted { home, underway };
         }
         let needed = account.committed() + ask.tokens;
-        if account.budget < needed {
-            let certain = needed - account.uncertain;
-            let is_certain = account.budget < certain;
+        if account.limit(ask.tokens) < needed {
+            let is_certain = account.budget < needed - account.uncertain;
             return if is_certain { Verdict::Spent } else { Verdict::Uncertain };
         }
         if account.ceiling < needed {
-            return Verdict::Record(account.raise(needed, ask.tokens));
+            return Verdict::Record(needed);
         }
         account.open.insert(ask.request.clone(), ask.tokens);
         account.is_underway = true;
@@ -209,16 +219,22 @@
     }
 
     /// Returns a ceiling to record now so that the program's next turns need not wait for it.
-    pub fn ahead(&mut self, program: &ProgramLabel, turn: Tokens) -> Option<(Tokens, Tokens)> {
+    pub fn ahead(&mut self, program: &ProgramLabel, turn: Tokens) -> Option<Tokens> {
         let account = self.accounts.get_mut(program)?;
         let next = account.committed() + turn;
         let planned = account.coming.unwrap_or(0).max(account.ceiling);
-        if next <= planned || account.budget < next {
+        if next <= planned || account.limit(turn) < next {
             return None;
         }
-        let ceiling = account.raise(next, turn);
-        account.coming = Some(ceiling);
-        Some((account.budget, ceiling))
+        account.coming = Some(next);
+        Some(next)
+    }
+
+    /// Returns the record of a ceiling.
+    pub fn ceiling(&self, program: &ProgramLabel, tokens: Tokens) -> LedgerRecord {
+        let account = self.accounts.get(program);
+        let (budget, spent) = account.map_or((0, 0), |it| (it.budget, it.spent));
+        LedgerRecord::Ceiling { program: program.clone(), budget, spent, tokens }
     }
 
     /// Takes note that a program's ceiling has been recorded.
@@ -258,12 +274,16 @@
     ///
     /// Turns under way count in full, since their ends will not be heard of here.
     pub fn release(&self) -> Vec<LedgerRecord> {
-        let settled = self.accounts.iter().map(|(program, it)| LedgerRecord::Settled {
-            program: program.clone(),
-            budget: it.budget,
-            tokens: it.committed(),
+        let settled = self.accounts.iter().flat_map(|(program, it)| {
+            let settled = LedgerRecord::Settled {
+                program: program.clone(),
+                budget: it.budget,
+                tokens: it.committed() - it.uncertain,
+            };
+            let unknown = (it.uncertain != 0).then(|| self.ceiling(program, it.committed()));
+            [Some(settled), unknown]
         });
-        settled.chain([LedgerRecord::Released]).collect()
+        settled.flatten().chain([LedgerRecord::Released]).collect()
     }
 
     /// Forgets programs without turns for `age`.
@@ -271,9 +291,3 @@
         self.accounts.retain(|_, it| now < it.used + age);
     }
 }
-
-impl Account {
-    fn raise(&self, needed: Tokens, turn: Tokens) -> Tokens {
-        needed.saturating_add(turn * (AHEAD_TURNS - 1)).min(self.budget)
-    }
-}
--- a/crates/rosethread_entry/src/life.rs
+++ b/crates/rosethread_entry/src/life.rs
@@ -49,7 +49,9 @@
         let members = control::start(&entry);
         let settings = &entry.settings;
         info!(entry.logger, "entry: started"; "node" => %settings.node, "zone" => %settings.zone,
-            "incarnation" => entry.incarnation.0, "policy" => ?settings.policy);
+            "incarnation" => entry.incarnation.0, "policy" => ?settings.policy,
+            "retention_s" => settings.platform.retention_s, "partitions" => settings.platform.partitions,
+            "grace_s" => settings.bounds.grace_s);
         EntryNode { entry, members, since: Instant::now(), state: PhantomData }
     }
 
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     chains::Turn,
-    ledger::{Ask, Settlement, Verdict},
+    ledger::{Ask, LedgerRecord, Settlement, Verdict},
     registry::Target,
     routes::Routes,
 };
@@ -72,7 +72,7 @@
         /// The turn.
         turn: Turn,
     },
-    /// Stop granting for a shard, and record its accounts.
+    /// Stop granting for a shard, and hand its accounts over.
     Yield {
         /// The shard.
         shard: u32,
@@ -94,6 +94,8 @@
     NoTurn,
     /// The request was carried out.
     Done,
+    /// The accounts of a shard that the node has given up; empty if it did not own the shard.
+    Yielded(Vec<LedgerRecord>),
     /// The routes in force.
     Routes(Routes),
     /// The targets, and how old the knowledge is, in milliseconds.
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -87,10 +87,7 @@
             history::keep_here(entry, shard, turn);
             PeerReply::Done
         }
-        PeerRequest::Yield { shard } => {
-            shards::release(entry, shard).await;
-            PeerReply::Done
-        }
+        PeerRequest::Yield { shard } => PeerReply::Yielded(shards::give_up(entry, shard)),
         PeerRequest::Routes => PeerReply::Routes((*entry.routes()).clone()),
         PeerRequest::Targets => control::targets_reply(entry),
     }
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -13,7 +13,8 @@
     time::Duration,
 };
 
-use rosethread_membership::{Status, responsible};
+use bytes::Bytes;
+use rosethread_membership::{Status, rank, responsible};
 use rosethread_platform::{Fence, Partition, StoreError};
 use rosethread_types::{Digest, NodeName, ProgramLabel, StreamName};
 use slog::{info, warn};
@@ -22,7 +23,7 @@
 use crate::{
     entry::Entry,
     ledger::{Ledger, LedgerRecord},
-    peers::PeerRequest,
+    peers::{PeerReply, PeerRequest},
 };
 
 use writer::Writer;
@@ -98,9 +99,22 @@
     u32::from_le_bytes(bytes) % entry.settings.platform.partitions
 }
 
+/// Returns the nodes that may be responsible for a shard by this node's view, the likeliest first.
+///
+/// A node that does not reach the log can claim nothing, so others come before it. While the log is
+/// away for all, nothing has to be claimed, and the first by hash still owns the shard.
+pub(crate) fn candidates_for(entry: &Entry, index: u32) -> Vec<NodeName> {
+    let view = entry.view();
+    let key = format!("shard-{index}");
+    let with_log = view.live().filter(|it| it.summary.has_log).map(|it| &it.node);
+    let first = rank(&key, with_log).into_iter().next();
+    let by_hash = responsible(&view, &key).filter(|it| Some(it) != first.as_ref());
+    first.into_iter().chain(by_hash).collect()
+}
+
 /// Returns the node that is responsible for a shard, by this node's view.
 pub(crate) fn responsible_for(entry: &Entry, index: u32) -> Option<NodeName> {
-    responsible(&entry.view(), &format!("shard-{index}"))
+    candidates_for(entry, index).into_iter().next()
 }
 
 fn partition(index: u32) -> Partition {
@@ -118,10 +132,8 @@
     if let Some(shard) = entry.shards.get(index) {
         return Ok(shard);
     }
-    let responsible = responsible_for(entry, index);
-    if responsible.as_ref() != Some(&entry.settings.node) {
-        let name = responsible.map_or_else(|| "no node".to_owned(), |it| it.to_string());
-        return Err(format!("{name} is responsible for shard {index}"));
+    if !candidates_for(entry, index).contains(&entry.settings.node) {
+        return Err(format!("another node is responsible for shard {index}"));
     }
     match claim(entry, index).await {
         Ok(shard) => {
@@ -139,37 +151,40 @@
 async fn claim(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, StoreError> {
     let mut seen = Seen::default();
     read_on(entry, index, &mut seen).await?;
-    if let Some(owner) = seen.owner.clone().filter(|_| !seen.is_released) {
-        ask_to_yield(entry, index, &owner).await;
-    }
+    let handed_over = match seen.owner.clone().filter(|_| !seen.is_released) {
+        Some(owner) => ask_to_yield(entry, index, &owner).await,
+        None => Vec::new(),
+    };
     let epoch = fence(entry, index, seen.epoch).await?;
     read_on(entry, index, &mut seen).await?;
+    for record in &handed_over {
+        seen.ledger.recover(record);
+    }
     let owner = entry.settings.node.to_string();
-    let record = encode(&LedgerRecord::Claim { epoch, owner });
-    let fence = Fence { epoch, number: 0 };
-    append_claim(entry, index, record, fence).await?;
+    let claim = LedgerRecord::Claim { epoch, owner };
+    let records: Vec<Bytes> = handed_over.iter().chain([&claim]).map(encode).collect();
+    append_claim(entry, index, &records, Fence { epoch, number: 0 }).await?;
     info!(entry.logger, "shards: claimed"; "shard" => index, "epoch" => epoch,
         "after_epoch" => seen.epoch, "former_owner" => seen.owner.as_deref().unwrap_or("none"),
-        "released" => seen.is_released, "records" => seen.records, "programs" => seen.ledger.len());
+        "released" => seen.is_released, "handed_over" => handed_over.len(), "records" => seen.records, "programs" => seen.ledger.len());
     let is_lost = Arc::new(AtomicBool::new(false));
     let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
     Ok(Arc::new(Shard { ledger: Mutex::new(seen.ledger), writer, is_lost }))
 }
 
-/// Appends the claim's record, once more if the first answer was lost.
+/// Appends the claim's records, once more if the first answer was lost.
 async fn append_claim(
     entry: &Entry,
     index: u32,
-    record: bytes::Bytes,
+    records: &[Bytes],
     fence: Fence,
 ) -> Result<(), StoreError> {
-    let records = [record];
     let partition = partition(index);
     entry.metrics.appends.inc();
-    match entry.store.append(&partition, &records, Some(fence)).await {
+    match entry.store.append(&partition, records, Some(fence)).await {
         Err(StoreError::Unanswered(_)) => {
             entry.metrics.appends.inc();
-            entry.store.append(&partition, &records, Some(fence)).await.map(drop)
+            entry.store.append(&partition, records, Some(fence)).await.map(drop)
         }
         result => result.map(drop),
     }
@@ -187,20 +202,34 @@
     Err(StoreError::Fenced)
 }
 
-async fn ask_to_yield(entry: &Arc<Entry>, index: u32, owner: &str) {
+/// Asks a former owner that still runs for its accounts.
+async fn ask_to_yield(entry: &Arc<Entry>, index: u32, owner: &str) -> Vec<LedgerRecord> {
     let view = entry.view();
     let state = owner.parse().ok().and_then(|it: NodeName| view.get(&it).cloned());
     let running = state.filter(|it| it.status < Status::Suspect && it.node != entry.settings.node);
     let Some(running) = running else {
-        return;
+        return Vec::new();
     };
-    let reply = entry.peers.ask(running.contact.peer, PeerRequest::Yield { shard: index }).await;
-    if let Err(error) = reply {
-        warn!(entry.logger, "shards: the former owner did not yield"; "shard" => index,
-            "owner" => owner, "error" => %error);
+    match entry.peers.ask(running.contact.peer, PeerRequest::Yield { shard: index }).await {
+        Ok(PeerReply::Yielded(records)) => records,
+        reply => {
+            warn!(entry.logger, "shards: the former owner did not yield"; "shard" => index,
+                "owner" => owner, "reply" => ?reply);
+            Vec::new()
+        }
     }
 }
 
+/// Stops granting for a shard, and returns what its successor has to know.
+pub(crate) fn give_up(entry: &Entry, index: u32) -> Vec<LedgerRecord> {
+    let Some(shard) = entry.shards.owned().remove(&index) else {
+        return Vec::new();
+    };
+    let is_lost = shard.is_lost.swap(true, Ordering::Relaxed);
+    info!(entry.logger, "shards: given up"; "shard" => index, "was_lost" => is_lost);
+    if is_lost { Vec::new() } else { shard.ledger().release() }
+}
+
 /// What a partition has told so far.
 #[derive(Default)]
 struct Seen {
@@ -258,7 +287,7 @@
     }
 }
 
-fn encode(record: &LedgerRecord) -> bytes::Bytes {
+fn encode(record: &LedgerRecord) -> Bytes {
     postcard::to_stdvec(record).expect("a record serialises").into()
 }
 
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -169,10 +169,16 @@
         if job.route.history.is_none() {
             return Ok(());
         }
+        // A chain that goes on from another program's holds all that was said there itself.
+        let (previous, input) = if job.is_root {
+            (None, &job.body)
+        } else {
+            (job.call.previous.clone(), &job.call.body)
+        };
         let turn = Turn {
             id: job.call.id.clone(),
-            previous: job.call.previous.clone(),
-            input: job.call.body.to_vec(),
+            previous,
+            input: input.to_vec(),
             output: std::mem::take(&mut self.output),
         };
         let result = history::write(&job.entry, job.shard, turn, job.deadline).await;
--- a/crates/rosethread_membership/src/state.rs
+++ b/crates/rosethread_membership/src/state.rs
@@ -53,6 +53,8 @@
     pub calls: u32,
     /// Programs that it owns.
     pub programs: u32,
+    /// Whether it reaches the shared log.
+    pub has_log: bool,
     /// The load of the targets that it owns.
     pub targets: Vec<TargetLoad>,
 }
--- a/crates/rosethread_node/src/control/periodic.rs
+++ b/crates/rosethread_node/src/control/periodic.rs
@@ -47,6 +47,7 @@
         revision: core.document.borrow().revision,
         calls: core.calls.load(Ordering::Relaxed),
         programs: core.owned_count() as u32,
+        has_log: core.journal.is_up(),
         targets: target_loads(core),
     }
 }
