--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -26,6 +26,9 @@
 /// What callers are told to wait until an account is known exactly again.
 const UNCERTAIN_RETRY: Duration = Duration::from_secs(1);
 
+/// What callers are told to wait where another host can serve them at once.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(20);
+
 /// The longest time for a call without a deadline of its own.
 const LONGEST: Duration = Duration::from_secs(600);
 
@@ -191,6 +194,10 @@
     let Some(budget) = tag.budget else {
         return Ok(Admitted::default());
     };
+    if entry.is_isolated() {
+        let detail = "this host reaches neither the store nor any other host";
+        return Err(Refusal::not_run(Reason::NotOwner, detail).retry_after(ELSEWHERE_RETRY));
+    }
     let ask = Ask {
         program: tag.program.clone(),
         session: tag.session.clone(),
@@ -208,7 +215,7 @@
             let detail = format!("the budget of {budget} does not hold {} more", ask.tokens);
             Err(Refusal::not_run(Reason::BudgetSpent, detail))
         }
-        Ok(Verdict::Record(_) | Verdict::Uncertain) => {
+        Ok(Verdict::Record(_) | Verdict::Uncertain | Verdict::Closed) => {
             let detail = "earlier owners may have granted the rest of the budget";
             let refusal = Refusal::not_run(Reason::BudgetNotJournalled, detail);
             Err(refusal.retry_after(UNCERTAIN_RETRY))
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -25,6 +25,10 @@
 /// The weight of a thousand prompt tokens read again; reading them costs time, which counts itself.
 const WASTE_WEIGHT: f64 = 0.002;
 
+/// The part of a target's connections that all hosts together use, so that there is room left when
+/// hosts vanish and their connections still count at the target.
+const CONNECTION_SHARE: f64 = 0.5;
+
 /// The fewest connections that a host may have to a target, however many hosts there are.
 const MIN_CONNECTIONS: usize = 2;
 
@@ -84,8 +88,8 @@
 
 /// Returns this host's part of the connections that a target accepts.
 fn connections(service: Option<&Service>, view: &View) -> usize {
-    let all = service.map_or(usize::MAX, |it| it.connections as usize);
-    (all / view.live().count().max(1)).max(MIN_CONNECTIONS)
+    let all = service.map_or(f64::MAX, |it| f64::from(it.connections)) * CONNECTION_SHARE;
+    ((all / view.live().count().max(1) as f64) as usize).max(MIN_CONNECTIONS)
 }
 
 fn candidate(
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -9,7 +9,7 @@
 use rosethread_membership::Summary;
 use rosethread_runtime::{Members, SetSummary, Tick};
 
-use crate::{entry::Entry, shards::release_foreign};
+use crate::entry::Entry;
 
 /// The time between two updates of what this host tells the others.
 const SUMMARY_PERIOD: Duration = Duration::from_millis(100);
@@ -38,7 +38,7 @@
     }
 }
 
-/// Forgets what has not been used for long, and gives up shards that belong to other hosts now.
+/// Forgets what has not been used for long.
 pub(super) async fn tidy(entry: Arc<Entry>) {
     let mut ticks = entry.timer.every(TIDY_PERIOD);
     while let Some(Tick) = ticks.recv().await {
@@ -55,8 +55,6 @@
         }
         entry.metrics.programs.set(programs as i64);
         entry.metrics.shards.set(shards.len() as i64);
-        drop(shards);
-        release_foreign(&entry).await;
     }
 }
 
--- a/crates/rosethread_entry/src/directory.rs
+++ b/crates/rosethread_entry/src/directory.rs
@@ -28,6 +28,10 @@
 /// Returns the hosts for a caller in `zone`: those that answer, have routes and do not leave.
 pub fn directions(entry: &Entry, zone: Option<&ZoneName>) -> Directions {
     let view = entry.view();
+    if entry.is_isolated() {
+        // Whoever asks finds a host that sees more.
+        return Directions { addresses: Vec::new(), keep: Duration::ZERO };
+    }
     let ready: Vec<_> = view.live().filter(|it| it.summary.revision.0 != 0).collect();
     let loads: Vec<HostLoad> = ready
         .iter()
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -165,7 +165,9 @@
 
     /// Tells whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        self.phase() == Phase::Serving && self.routes.borrow().revision.0 != 0
+        self.phase() == Phase::Serving
+            && self.routes.borrow().revision.0 != 0
+            && !self.is_isolated()
     }
 
     pub(crate) fn targets(&self) -> Arc<BTreeMap<TargetName, Target>> {
@@ -187,6 +189,12 @@
         self.log_seen.load(Ordering::Relaxed) != 0 && self.log_age() < LOG_AGE
     }
 
+    /// Tells whether neither the store nor any other host can be reached.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let view = self.view();
+        !self.has_log() && 1 < view.nodes.len() && view.live().count() <= 1
+    }
+
     fn log_age(&self) -> Duration {
         let seen = Duration::from_millis(self.log_seen.load(Ordering::Relaxed));
         self.now().saturating_sub(seen)
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -1,6 +1,10 @@
 //! Asks a program's owner whether a turn may run, and tells it how the turn ended.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use rosethread_types::{NodeName, Reason, Refusal};
 use slog::{debug, warn};
@@ -10,7 +14,7 @@
     entry::Entry,
     ledger::{Ask, Settlement, Verdict},
     peers::{PeerReply, PeerRequest},
-    shards::{self, Shard, candidates_for, responsible_for},
+    shards::{self, NotOwned, Shard, candidates_for, responsible_for},
 };
 
 /// The longest wait for an owner's decision before the turn is refused.
@@ -60,17 +64,33 @@
         Verdict::Record(_) => "record",
         Verdict::Spent => "spent",
         Verdict::Uncertain => "uncertain",
+        Verdict::Closed => "closed",
     }
 }
 
+/// Asks the node that decided last, then those that may be responsible, and whom they name.
 async fn ask_once(entry: &Arc<Entry>, shard: u32, ask: &Ask) -> Result<Verdict, String> {
+    let last = entry.shards.last_owner(shard).filter(|it| entry.view().is_running(it));
+    let mut nodes: VecDeque<NodeName> = last.into_iter().collect();
+    nodes.extend(candidates_for(entry, shard));
+    let mut asked = BTreeSet::new();
     let mut reasons = Vec::new();
-    for owner in candidates_for(entry, shard) {
+    while let Some(owner) = nodes.pop_front() {
+        if !asked.insert(owner.clone()) {
+            continue;
+        }
         match ask_owner(entry, shard, &owner, ask).await {
-            Ok(verdict) => return Ok(verdict),
-            Err(reason) => reasons.push(reason),
+            Ok(verdict) => {
+                entry.shards.set_owner(shard, Some(owner));
+                return Ok(verdict);
+            }
+            Err(error) => {
+                nodes.extend(error.owner);
+                reasons.push(format!("{owner}: {}", error.detail));
+            }
         }
     }
+    entry.shards.set_owner(shard, None);
     Err(reasons.join("; "))
 }
 
@@ -79,32 +99,43 @@
     shard: u32,
     owner: &NodeName,
     ask: &Ask,
-) -> Result<Verdict, String> {
+) -> Result<Verdict, NotOwned> {
     if *owner == entry.settings.node {
         return decide(entry, shard, ask).await;
     }
+    let unable = |detail: String| NotOwned { owner: None, detail };
     let view = entry.view();
-    let contact = view.get(owner).ok_or("the owner is not known")?.contact.peer;
-    match entry.peers.ask(contact, PeerRequest::Ask { shard, ask: ask.clone() }).await {
+    let state = view.get(owner).ok_or_else(|| unable("it is not known".to_owned()))?;
+    let request = PeerRequest::Ask { shard, ask: ask.clone() };
+    match entry.peers.ask(state.contact.peer, request).await {
         Ok(PeerReply::Verdict(verdict)) => Ok(verdict),
-        Ok(PeerReply::Unable(reason)) => Err(format!("{owner}: {reason}")),
-        Ok(_) => Err(format!("{owner} gave another kind of reply")),
-        Err(error) => Err(format!("{owner}: {error}")),
+        Ok(PeerReply::OwnedBy(other)) => {
+            Err(NotOwned { detail: format!("{other} is the owner"), owner: Some(other) })
+        }
+        Ok(PeerReply::Unable(reason)) => Err(unable(reason)),
+        Ok(_) => Err(unable("another kind of reply".to_owned())),
+        Err(error) => Err(unable(error.to_string())),
     }
 }
 
 /// Decides as the owner; the reason of an error is for logs.
-pub(crate) async fn decide(entry: &Arc<Entry>, index: u32, ask: &Ask) -> Result<Verdict, String> {
+pub(crate) async fn decide(entry: &Arc<Entry>, index: u32, ask: &Ask) -> Result<Verdict, NotOwned> {
     let shard = shards::own(entry, index).await?;
+    let unable = |detail: String| NotOwned { owner: None, detail };
     loop {
         let verdict = shard.ledger().ask(ask, entry.now());
         match verdict {
-            Verdict::Record(ceiling) => record(&shard, ask, ceiling).await?,
+            Verdict::Record(ceiling) => record(&shard, ask, ceiling).await.map_err(unable)?,
             Verdict::Granted { .. } => {
                 record_ahead(entry, &shard, ask);
                 return Ok(verdict);
             }
+            Verdict::Closed => return Err(unable("the shard was handed over".to_owned())),
             Verdict::Spent | Verdict::Uncertain => {
+                if let Some(record) = shard.ledger().spent_record(&ask.program) {
+                    // Nobody waits for it: without it a successor is only less certain.
+                    drop(shard.record(record));
+                }
                 debug!(entry.logger, "grants: no tokens"; "program" => %ask.program,
                     "request" => %ask.request, "budget" => ask.budget, "tokens" => ask.tokens,
                     "verdict" => label(&verdict));
@@ -163,7 +194,8 @@
     let entry = entry.clone();
     entry.tasks.clone().spawn(async move {
         for attempt in 0..SETTLE_TRIES {
-            let Some(owner) = responsible_for(&entry, shard) else {
+            let last = entry.shards.last_owner(shard);
+            let Some(owner) = last.or_else(|| responsible_for(&entry, shard)) else {
                 return;
             };
             if owner == entry.settings.node {
--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
+use rosethread_membership::NodeState;
 use rosethread_platform::{Partition, StoreError};
 use rosethread_types::{Reason, Refusal, RequestId, StreamName};
 use serde::{Deserialize, Serialize};
@@ -262,15 +263,14 @@
     turn: Turn,
     deadline: Instant,
 ) -> Result<(), StoreError> {
-    let records = pieces(&turn, entry.settings.platform.record_bytes);
-    let partition = partition(shard);
     loop {
-        entry.metrics.appends.inc();
-        // A second copy of a turn does no harm, so no fence is needed.
-        let error = match entry.store.append(&partition, &records, None).await {
-            Ok(_) => break,
+        let error = match append(entry, shard, &turn).await {
+            Ok(()) => break,
             Err(error) => error,
         };
+        if write_by_peer(entry, shard, &turn).await {
+            return Ok(());
+        }
         if !error.is_away() || deadline < Instant::now() + AGAIN {
             return Err(error);
         }
@@ -280,6 +280,26 @@
     Ok(())
 }
 
+/// Appends a turn to its shard's partition; a second copy does no harm, so no fence is needed.
+pub(crate) async fn append(entry: &Entry, shard: u32, turn: &Turn) -> Result<(), StoreError> {
+    let records = pieces(turn, entry.settings.platform.record_bytes);
+    entry.metrics.appends.inc();
+    entry.store.append(&partition(shard), &records, None).await.map(drop)
+}
+
+/// Lets a host that reaches the log write a turn; returns whether it did.
+async fn write_by_peer(entry: &Arc<Entry>, shard: u32, turn: &Turn) -> bool {
+    let view = entry.view();
+    let is_able = |it: &&NodeState| it.summary.has_log && it.node != entry.settings.node;
+    let able: Vec<_> = view.live().filter(is_able).collect();
+    if able.is_empty() {
+        return false;
+    }
+    let peer = able[entry.random.bits() as usize % able.len()].contact.peer;
+    let request = PeerRequest::Write { shard, turn: turn.clone() };
+    matches!(entry.peers.ask(peer, request).await, Ok(PeerReply::Done))
+}
+
 fn pieces(turn: &Turn, record_bytes: usize) -> Vec<Bytes> {
     let bytes = postcard::to_stdvec(turn).expect("a turn serialises");
     let room = record_bytes.saturating_sub(PIECE_OVERHEAD).max(1);
@@ -296,7 +316,7 @@
 }
 
 /// Hands a turn to the host that will be asked for it; otherwise that host reads it from the log.
-fn tell_keeper(entry: &Arc<Entry>, shard: u32, turn: Turn) {
+pub(crate) fn tell_keeper(entry: &Arc<Entry>, shard: u32, turn: Turn) {
     let Some(owner) = responsible_for(entry, shard) else {
         return;
     };
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -9,7 +9,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use rosethread_types::{ProgramLabel, RequestId, SessionLabel, TargetName, Tokens};
+use rosethread_types::{
+    Incarnation, NodeName, ProgramLabel, RequestId, SessionLabel, TargetName, Tokens,
+};
 use serde::{Deserialize, Serialize};
 
 /// The part of a budget, one in this many, that a shard's first owner may grant without a record.
@@ -52,6 +54,8 @@
     Spent,
     /// The budget may not hold the turn, but what earlier owners granted is not known exactly.
     Uncertain,
+    /// The accounts have been handed over, and another owner decides.
+    Closed,
 }
 
 /// How a granted turn ended.
@@ -77,7 +81,9 @@
         /// The owner's epoch, which is also its fencing number.
         epoch: u64,
         /// The node's name.
-        owner: String,
+        owner: NodeName,
+        /// The run of the node's process; a later run knows nothing of the shard.
+        run: Incarnation,
     },
     /// A program may be granted this many tokens in all.
     Ceiling {
@@ -117,6 +123,8 @@
     ceiling: Tokens,
     /// A higher ceiling whose record has been submitted.
     coming: Option<Tokens>,
+    /// Whether the log knows that the budget is spent.
+    is_spent_recorded: bool,
     homes: BTreeMap<SessionLabel, TargetName>,
     last_home: Option<TargetName>,
     /// Whether a turn was granted before.
@@ -142,6 +150,8 @@
 pub struct Ledger {
     /// Earlier owners that may have granted tokens to programs without a record.
     earlier: u64,
+    /// Whether the accounts have been handed over, after which nothing more may be granted.
+    is_closed: bool,
     accounts: BTreeMap<ProgramLabel, Account>,
 }
 
@@ -194,6 +204,9 @@
     ///
     /// The same call asking again keeps its grant.
     pub fn ask(&mut self, ask: &Ask, now: Duration) -> Verdict {
+        if self.is_closed {
+            return Verdict::Closed;
+        }
         if !self.accounts.contains_key(&ask.program) {
             let account = self.open_account(ask);
             self.accounts.insert(ask.program.clone(), account);
@@ -230,6 +243,19 @@
         Some(next)
     }
 
+    /// Returns a record of what is certainly spent, once, for a program whose budget is spent.
+    ///
+    /// With it a successor can say so at once, where it would be uncertain otherwise.
+    pub fn spent_record(&mut self, program: &ProgramLabel) -> Option<LedgerRecord> {
+        let account = self.accounts.get_mut(program)?;
+        let is_settled = account.open.is_empty() && account.uncertain == 0;
+        if !is_settled || std::mem::replace(&mut account.is_spent_recorded, true) {
+            return None;
+        }
+        let (budget, tokens) = (account.budget, account.spent);
+        Some(LedgerRecord::Settled { program: program.clone(), budget, tokens })
+    }
+
     /// Returns the record of a ceiling.
     pub fn ceiling(&self, program: &ProgramLabel, tokens: Tokens) -> LedgerRecord {
         let account = self.accounts.get(program);
@@ -270,10 +296,11 @@
         }
     }
 
-    /// Returns the records that let a successor go on with exact accounts.
+    /// Closes the ledger, and returns the records that let a successor go on with exact accounts.
     ///
     /// Turns under way count in full, since their ends will not be heard of here.
-    pub fn release(&self) -> Vec<LedgerRecord> {
+    pub fn release(&mut self) -> Vec<LedgerRecord> {
+        self.is_closed = true;
         let settled = self.accounts.iter().flat_map(|(program, it)| {
             let settled = LedgerRecord::Settled {
                 program: program.clone(),
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -13,7 +13,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use displaydoc::Display;
-use rosethread_types::RequestId;
+use rosethread_types::{NodeName, RequestId};
 use serde::{Deserialize, Serialize};
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -72,6 +72,13 @@
         /// The turn.
         turn: Turn,
     },
+    /// Write a turn to the log, which the asking node does not reach.
+    Write {
+        /// The program's shard.
+        shard: u32,
+        /// The turn.
+        turn: Turn,
+    },
     /// Stop granting for a shard, and hand its accounts over.
     Yield {
         /// The shard.
@@ -105,6 +112,8 @@
         /// The time since the store was read, in milliseconds.
         age_ms: u64,
     },
+    /// Another node owns the shard.
+    OwnedBy(NodeName),
     /// This node cannot tell: it does not own the shard, or the store does not answer.
     Unable(String),
 }
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -16,7 +16,7 @@
     entry::Entry,
     grants, history,
     peers::{PeerReply, PeerRequest, codec},
-    shards,
+    shards::{self, NotOwned},
 };
 
 /// Replies that wait to be written on one connection.
@@ -76,7 +76,8 @@
     match request {
         PeerRequest::Ask { shard, ask } => match grants::decide(entry, shard, &ask).await {
             Ok(verdict) => PeerReply::Verdict(verdict),
-            Err(reason) => PeerReply::Unable(reason),
+            Err(NotOwned { owner: Some(owner), .. }) => PeerReply::OwnedBy(owner),
+            Err(NotOwned { owner: None, detail }) => PeerReply::Unable(detail),
         },
         PeerRequest::Settle { shard, settlement } => {
             grants::settle(entry, shard, &settlement);
@@ -87,6 +88,13 @@
             history::keep_here(entry, shard, turn);
             PeerReply::Done
         }
+        PeerRequest::Write { shard, turn } => match history::append(entry, shard, &turn).await {
+            Ok(()) => {
+                history::tell_keeper(entry, shard, turn);
+                PeerReply::Done
+            }
+            Err(error) => PeerReply::Unable(error.to_string()),
+        },
         PeerRequest::Yield { shard } => PeerReply::Yielded(shards::give_up(entry, shard)),
         PeerRequest::Routes => PeerReply::Routes((*entry.routes()).clone()),
         PeerRequest::Targets => control::targets_reply(entry),
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -14,9 +14,9 @@
 };
 
 use bytes::Bytes;
-use rosethread_membership::{Status, rank, responsible};
+use rosethread_membership::{NodeState, Status, rank, responsible};
 use rosethread_platform::{Fence, Partition, StoreError};
-use rosethread_types::{Digest, NodeName, ProgramLabel, StreamName};
+use rosethread_types::{Digest, Incarnation, NodeName, ProgramLabel, StreamName};
 use slog::{info, warn};
 use tokio::{sync::oneshot, time::timeout};
 
@@ -67,6 +67,8 @@
 pub(crate) struct Shards {
     owned: Mutex<BTreeMap<u32, Arc<Shard>>>,
     claims: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<()>>>>,
+    /// The nodes that decided last, to be asked first.
+    owners: Mutex<BTreeMap<u32, NodeName>>,
 }
 
 impl Shards {
@@ -85,6 +87,20 @@
         owned.iter().filter(|(_, it)| !it.is_lost()).map(|(i, it)| (*i, it.clone())).collect()
     }
 
+    /// Returns the node that decided last for a shard.
+    pub(crate) fn last_owner(&self, index: u32) -> Option<NodeName> {
+        self.owners.lock().expect("no holder of the owners panics").get(&index).cloned()
+    }
+
+    /// Takes note of the node that decides for a shard, or that the last one does no longer.
+    pub(crate) fn set_owner(&self, index: u32, owner: Option<NodeName>) {
+        let mut owners = self.owners.lock().expect("no holder of the owners panics");
+        match owner {
+            Some(owner) => owners.insert(index, owner),
+            None => owners.remove(&index),
+        };
+    }
+
     fn claim_lock(&self, index: u32) -> Arc<tokio::sync::Mutex<()>> {
         let mut claims = self.claims.lock().expect("no holder of the claims panics");
         claims.entry(index).or_default().clone()
@@ -123,7 +139,7 @@
 }
 
 /// Returns the shard, claiming it first if this node is responsible for it.
-pub(crate) async fn own(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, String> {
+pub(crate) async fn own(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, NotOwned> {
     if let Some(shard) = entry.shards.get(index) {
         return Ok(shard);
     }
@@ -133,7 +149,8 @@
         return Ok(shard);
     }
     if !candidates_for(entry, index).contains(&entry.settings.node) {
-        return Err(format!("another node is responsible for shard {index}"));
+        let detail = format!("this node is not responsible for shard {index}");
+        return Err(NotOwned { owner: None, detail });
     }
     match claim(entry, index).await {
         Ok(shard) => {
@@ -142,30 +159,69 @@
             Ok(shard)
         }
         Err(error) => {
-            warn!(entry.logger, "shards: a claim failed"; "shard" => index, "error" => %error);
-            Err(error.to_string())
+            info!(entry.logger, "shards: not claimed"; "shard" => index, "why" => &error.detail);
+            Err(error)
         }
     }
 }
 
-async fn claim(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, StoreError> {
+/// Why a node does not own a shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct NotOwned {
+    /// The node that does, if it is known.
+    pub(crate) owner: Option<NodeName>,
+    /// The reason, for logs.
+    pub(crate) detail: String,
+}
+
+impl From<StoreError> for NotOwned {
+    fn from(error: StoreError) -> NotOwned {
+        NotOwned { owner: None, detail: error.to_string() }
+    }
+}
+
+/// Returns the owner that the log names, unless its shard may be claimed.
+///
+/// An owner stays for as long as it runs and reaches the log: a change of hands costs more than an
+/// even spread is worth.
+fn sitting_owner(entry: &Entry, seen: &Seen) -> Option<NodeName> {
+    let (owner, run) = seen.owner.clone()?;
+    let view = entry.view();
+    let state = view.get(&owner)?;
+    let is_sitting = !seen.is_released
+        && owner != entry.settings.node
+        && state.incarnation == run
+        && state.status <= Status::Suspect
+        && state.status != Status::Leaving
+        && state.summary.has_log;
+    is_sitting.then_some(owner)
+}
+
+async fn claim(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, NotOwned> {
     let mut seen = Seen::default();
     read_on(entry, index, &mut seen).await?;
+    if let Some(owner) = sitting_owner(entry, &seen) {
+        let detail = format!("{owner} owns it since epoch {}", seen.epoch);
+        return Err(NotOwned { owner: Some(owner), detail });
+    }
+    let before = seen.epoch;
     let handed_over = match seen.owner.clone().filter(|_| !seen.is_released) {
-        Some(owner) => ask_to_yield(entry, index, &owner).await,
+        Some((owner, run)) => ask_to_yield(entry, index, &owner, run).await,
         None => Vec::new(),
     };
     let epoch = fence(entry, index, seen.epoch).await?;
     read_on(entry, index, &mut seen).await?;
+    // What a former owner hands over is out of date once another has claimed the shard.
+    let handed_over = if seen.epoch == before { handed_over } else { Vec::new() };
     for record in &handed_over {
         seen.ledger.recover(record);
     }
-    let owner = entry.settings.node.to_string();
-    let claim = LedgerRecord::Claim { epoch, owner };
+    let owner = entry.settings.node.clone();
+    let claim = LedgerRecord::Claim { epoch, owner, run: entry.incarnation };
     let records: Vec<Bytes> = handed_over.iter().chain([&claim]).map(encode).collect();
     append_claim(entry, index, &records, Fence { epoch, number: 0 }).await?;
     info!(entry.logger, "shards: claimed"; "shard" => index, "epoch" => epoch,
-        "after_epoch" => seen.epoch, "former_owner" => seen.owner.as_deref().unwrap_or("none"),
+        "after_epoch" => seen.epoch, "former_owner" => seen.owner.as_ref().map_or("none", |(it, _)| it.as_str()),
         "released" => seen.is_released, "handed_over" => handed_over.len(), "records" => seen.records, "programs" => seen.ledger.len());
     let is_lost = Arc::new(AtomicBool::new(false));
     let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
@@ -203,18 +259,24 @@
 }
 
 /// Asks a former owner that still runs for its accounts.
-async fn ask_to_yield(entry: &Arc<Entry>, index: u32, owner: &str) -> Vec<LedgerRecord> {
+async fn ask_to_yield(
+    entry: &Arc<Entry>,
+    index: u32,
+    owner: &NodeName,
+    run: Incarnation,
+) -> Vec<LedgerRecord> {
     let view = entry.view();
-    let state = owner.parse().ok().and_then(|it: NodeName| view.get(&it).cloned());
-    let running = state.filter(|it| it.status < Status::Suspect && it.node != entry.settings.node);
-    let Some(running) = running else {
+    let is_asked = |it: &&NodeState| {
+        it.status < Status::Suspect && it.incarnation == run && it.node != entry.settings.node
+    };
+    let Some(running) = view.get(owner).filter(is_asked) else {
         return Vec::new();
     };
     match entry.peers.ask(running.contact.peer, PeerRequest::Yield { shard: index }).await {
         Ok(PeerReply::Yielded(records)) => records,
         reply => {
             warn!(entry.logger, "shards: the former owner did not yield"; "shard" => index,
-                "owner" => owner, "reply" => ?reply);
+                "owner" => %owner, "reply" => ?reply);
             Vec::new()
         }
     }
@@ -235,7 +297,8 @@
 struct Seen {
     next: u64,
     epoch: u64,
-    owner: Option<String>,
+    /// The last owner and the run of its process.
+    owner: Option<(NodeName, Incarnation)>,
     is_released: bool,
     records: usize,
     ledger: Ledger,
@@ -275,9 +338,9 @@
         };
         self.records += 1;
         match &record {
-            LedgerRecord::Claim { epoch, owner } => {
+            LedgerRecord::Claim { epoch, owner, run } => {
                 self.epoch = *epoch;
-                self.owner = Some(owner.clone());
+                self.owner = Some((owner.clone(), *run));
                 self.is_released = false;
             }
             LedgerRecord::Released => self.is_released = true,
@@ -308,12 +371,3 @@
     shard.is_lost.store(true, Ordering::Relaxed);
     info!(entry.logger, "shards: released"; "shard" => index, "recorded" => is_recorded);
 }
-
-/// Releases the shards for which another node has become responsible.
-pub(crate) async fn release_foreign(entry: &Arc<Entry>) {
-    for (index, _) in entry.shards.all() {
-        if responsible_for(entry, index).as_ref() != Some(&entry.settings.node) {
-            release(entry, index).await;
-        }
-    }
-}
