Tests hand bound sockets in; a bad request carries the program's continuation

Cause: tests chose a port, released it and bound it again; beside load another process took it (a_history_has_a_limit: address already in use). Change: NodeSockets and Sockets are bound first and handed in; the control thread's start stands once, in rosethread_runtime. Traced in route::find: a host that has not read the claim yet, asked without the continuation that callers carry, does not know the program. The test now sends it; what it checks is as strict as before.

--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -64,7 +64,7 @@
         let mut registry = entry.registry.lock().expect("no holder of the registry panics");
         registry.set_away(false, now);
         if changes.is_complete {
-            registry.retain(changes.present.iter().map(|it| &it.name), now);
+            gone = registry.retain(changes.present.iter().map(|it| &it.name), now);
         }
         for target in changes.present {
             registry.put(target);
@@ -134,18 +134,12 @@
         return;
     }
     let now = entry.now();
-    let mut gone = Vec::new();
+    let gone;
     {
         let mut registry = entry.registry.lock().expect("no holder of the registry panics");
         // The peer's store answers, so what it does not list is gone, not lapsed.
         registry.set_away(false, now);
-        let known = registry.targets();
-        let missing = known.keys().filter(|it| !targets.iter().any(|other| other.name == **it));
-        for name in missing {
-            if registry.remove(name, now) {
-                gone.push(name.clone());
-            }
-        }
+        gone = registry.retain(targets.iter().map(|it| &it.name), now);
         for target in targets {
             registry.put(target);
         }
--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -119,16 +119,15 @@
         gone
     }
 
-    /// Marks all targets that a complete listing lacks. Returns whether any is gone at once.
-    pub fn retain<'a>(
-        &mut self,
-        listed: impl Iterator<Item = &'a TargetName>,
-        now: Duration,
-    ) -> bool {
+    /// Marks all targets that a complete listing lacks, and returns those that are gone at once.
+    pub fn retain<'a, I>(&mut self, listed: I, now: Duration) -> Vec<TargetName>
+    where
+        I: Iterator<Item = &'a TargetName>,
+    {
         let listed: std::collections::BTreeSet<&TargetName> = listed.collect();
         let missing: Vec<TargetName> =
             self.entries.keys().filter(|it| !listed.contains(it)).cloned().collect();
-        missing.iter().fold(false, |gone, it| self.remove(it, now) || gone)
+        missing.into_iter().filter(|it| self.remove(it, now)).collect()
     }
 
     /// Returns the targets by name.
--- a/crates/rosethread_node/src/lib.rs
+++ b/crates/rosethread_node/src/lib.rs
@@ -29,5 +29,5 @@
 pub use metrics::Metrics;
 pub use node::{Draining, Location, Node, NodeHandle, Serving, Stopped};
 pub use peers::{DocumentReply, HttpPeers, PeerError, PeerReply, PeerRequest, Peers, serve_peers};
-pub use process::{NodeProcess, StartError};
+pub use process::{NodeProcess, NodeSockets, StartError};
 pub use rosethread_runtime::{Datagrams, Random, Tasks, Tick, Timer, UdpDatagrams};
--- a/crates/rosethread_node/src/process.rs
+++ b/crates/rosethread_node/src/process.rs
@@ -1,11 +1,16 @@
 //! A whole node process: its two runtimes, its sockets and its servers.
 
-use std::{io, net::SocketAddr, sync::Arc, thread};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener as StdListener, UdpSocket as StdUdpSocket},
+    sync::Arc,
+};
 
 use axum::serve::{Listener, ListenerExt};
 use displaydoc::Display;
-use rosethread_config::Settings;
+use rosethread_config::{Addresses, Settings};
 use rosethread_platform::{Clock, HttpHosts, HttpLog, HttpTargets};
+use rosethread_runtime::start_control;
 use slog::{Logger, info};
 use tokio::{
     net::TcpListener,
@@ -53,6 +58,17 @@
         settings: Settings,
         logger: Logger,
         workers: usize,
+    ) -> Result<NodeProcess, StartError> {
+        let sockets = NodeSockets::bind(&settings.addresses)?;
+        NodeProcess::start_on(sockets, settings, logger, workers)
+    }
+
+    /// Starts a node on sockets that are bound, whose addresses the settings name.
+    pub fn start_on(
+        sockets: NodeSockets,
+        settings: Settings,
+        logger: Logger,
+        workers: usize,
     ) -> Result<NodeProcess, StartError> {
         let traffic = Builder::new_multi_thread()
             .worker_threads(workers)
@@ -61,7 +77,7 @@
             .build()
             .map_err(StartError::Runtime)?;
         let (control, control_handle) = start_control().map_err(StartError::Runtime)?;
-        let node = traffic.block_on(start_node(settings, logger, control_handle))?;
+        let node = traffic.block_on(start_node(sockets, settings, logger, control_handle))?;
         let handle = node.handle();
         let runtime = traffic.handle().clone();
         let (traffic, control, node) = (Some(traffic), Some(control), Some(node));
@@ -103,30 +119,17 @@
     }
 }
 
-/// Starts the thread that keeps the control state.
-fn start_control() -> io::Result<(oneshot::Sender<()>, Handle)> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    let handle = runtime.handle().clone();
-    let (sender, receiver) = oneshot::channel::<()>();
-    thread::Builder::new().name("control".to_owned()).spawn(move || {
-        // The sender is dropped, not used, when the process stops.
-        let _ = runtime.block_on(receiver);
-        runtime.shutdown_background();
-    })?;
-    Ok((sender, handle))
-}
-
 async fn start_node(
+    sockets: NodeSockets,
     settings: Settings,
     logger: Logger,
     control: Handle,
 ) -> Result<Node<Serving>, StartError> {
     let addresses = settings.addresses.clone();
-    let caller = bind("addresses.caller", addresses.caller).await?;
-    let peer = bind("addresses.peer", addresses.peer).await?;
-    let datagrams = UdpDatagrams::bind(addresses.heartbeat).await.map_err(|error| {
-        StartError::Bind { field: "addresses.heartbeat", address: addresses.heartbeat, error }
-    })?;
+    let caller = listener(sockets.caller)?;
+    let peer = listener(sockets.peer)?;
+    sockets.heartbeat.set_nonblocking(true).map_err(StartError::Runtime)?;
+    let datagrams = UdpDatagrams::from_std(sockets.heartbeat).map_err(StartError::Runtime)?;
     let client =
         reqwest::Client::builder().tcp_nodelay(true).build().map_err(StartError::Client)?;
     let clock = Clock::system();
@@ -149,8 +152,35 @@
     Ok(node)
 }
 
-async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|error| StartError::Bind { field, address, error })
+/// The sockets of a node, bound before its runtimes start.
+///
+/// Whoever chooses free ports binds them at once, so that nobody else can take them meanwhile.
+pub struct NodeSockets {
+    /// For callers.
+    pub caller: StdListener,
+    /// For other nodes and the console.
+    pub peer: StdListener,
+    /// For heartbeats.
+    pub heartbeat: StdUdpSocket,
+}
+
+impl NodeSockets {
+    /// Binds the addresses of the settings.
+    pub fn bind(addresses: &Addresses) -> Result<NodeSockets, StartError> {
+        let failed = |field, address| move |error| StartError::Bind { field, address, error };
+        let Addresses { caller, peer, heartbeat } = *addresses;
+        Ok(NodeSockets {
+            caller: StdListener::bind(caller).map_err(failed("addresses.caller", caller))?,
+            peer: StdListener::bind(peer).map_err(failed("addresses.peer", peer))?,
+            heartbeat: StdUdpSocket::bind(heartbeat)
+                .map_err(failed("addresses.heartbeat", heartbeat))?,
+        })
+    }
+}
+
+fn listener(socket: StdListener) -> Result<TcpListener, StartError> {
+    socket.set_nonblocking(true).map_err(StartError::Runtime)?;
+    TcpListener::from_std(socket).map_err(StartError::Runtime)
 }
 
 /// Returns a listener whose connections send small messages at once.
--- a/crates/rosethread_runtime/src/datagrams.rs
+++ b/crates/rosethread_runtime/src/datagrams.rs
@@ -27,6 +27,11 @@
         Ok(UdpDatagrams { socket: UdpSocket::bind(address).await? })
     }
 
+    /// Takes over a socket that is bound and does not block.
+    pub fn from_std(socket: std::net::UdpSocket) -> io::Result<UdpDatagrams> {
+        Ok(UdpDatagrams { socket: UdpSocket::from_std(socket)? })
+    }
+
     /// Returns the address that the socket is bound to.
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
         self.socket.local_addr()
--- a/crates/rosethread_runtime/src/lib.rs
+++ b/crates/rosethread_runtime/src/lib.rs
@@ -7,10 +7,12 @@
 mod members;
 mod random;
 mod tasks;
+mod thread;
 mod timer;
 
 pub use datagrams::{Datagrams, UdpDatagrams};
 pub use members::{Greet, Leave, Listed, Members, MembersParts, SetSummary, start_members};
 pub use random::Random;
 pub use tasks::Tasks;
+pub use thread::start_control;
 pub use timer::{Tick, Timer};
--- a/crates/rosethread_testbed/src/caller.rs
+++ b/crates/rosethread_testbed/src/caller.rs
@@ -180,6 +180,11 @@
 }
 
 impl CallerProgram {
+    /// Returns the sealed continuation for the next call.
+    pub fn continuation(&self) -> &str {
+        &self.continuation
+    }
+
     /// Calls the model with one more user message, until `deadline` is over.
     pub async fn chat(
         &mut self,
--- a/crates/rosethread_testbed/src/lib.rs
+++ b/crates/rosethread_testbed/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod workload;
 
 pub use caller::{CallError, CallResult, Caller, CallerProgram};
-pub use deployment::{Deployment, DeploymentSpec, free_address, quiet_logger, terminal_logger};
+pub use deployment::{Deployment, DeploymentSpec, quiet_logger, terminal_logger};
 pub use document::{DocumentBuilder, key_of};
 
 pub use memory::{Cluster, ClusterSpec};
