--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -102,6 +102,7 @@
             body: job.body.clone(),
             time,
             resume_after,
+            is_repeatable: job.route.is_repeatable(),
             rank: job.rank,
             connections: chosen.connections,
         };
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -48,6 +48,8 @@
     pub time: Duration,
     /// The number of the last event that the caller has, for a stream to go on.
     pub resume_after: Option<u64>,
+    /// Whether the request may run again after it may have run.
+    pub is_repeatable: bool,
     /// The rank among the engine's requests, from 0 for the first to 9 for the last.
     pub rank: u8,
     /// The connections that this host may have to the target.
--- a/crates/rosethread_testbed/examples/demo.rs
+++ b/crates/rosethread_testbed/examples/demo.rs
@@ -12,11 +12,12 @@
     time::{Duration, Instant},
 };
 
+use getopts::Options;
 use rosethread_config::PolicyName;
 use rosethread_fakes::{EngineConfig, LogFaults, prompt_with_length};
 use rosethread_testbed::{
-    CallError, CallResult, Caller, CallerProgram, Deploy, Latency, Scale, consortium, key_of,
-    trailerwerk,
+    CallError, CallResult, Caller, CallerProgram, Deploy, Latency, Scale, arguments, consortium,
+    key_of, trailerwerk,
 };
 use serde_json::json;
 
@@ -88,6 +89,11 @@
 type Shared = Arc<Mutex<Tally>>;
 
 fn main() -> io::Result<ExitCode> {
+    let what =
+        "Runs both users' workloads in miniature, with faults; exits 1 if a promise was broken.";
+    if arguments(what, Options::new())?.is_none() {
+        return Ok(ExitCode::SUCCESS);
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let is_kept = runtime.block_on(run())?;
     Ok(if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
--- a/crates/rosethread_testbed/examples/fuzz.rs
+++ b/crates/rosethread_testbed/examples/fuzz.rs
@@ -14,7 +14,10 @@
 };
 
 use getopts::Options;
-use rosethread_testbed::memory::{FuzzOptions, RunReport, run_seed};
+use rosethread_testbed::{
+    arguments,
+    memory::{FuzzOptions, RunReport, run_seed},
+};
 
 /// Violations shown in full.
 const SHOWN: usize = 20;
@@ -29,7 +32,11 @@
     let mut options = Options::new();
     options.optopt("n", "seeds", "how many seeds to run (200)", "N");
     options.optopt("s", "first", "the first seed (0)", "N");
-    let matches = options.parse(std::env::args().skip(1)).map_err(io::Error::other)?;
+    let Some(matches) =
+        arguments("Runs the whole system under faults, one seed after the other.", options)?
+    else {
+        return Ok(ExitCode::SUCCESS);
+    };
     let number =
         |name: &str, default: u64| matches.opt_get_default(name, default).map_err(io::Error::other);
     let (count, first) = (number("seeds", 200)?, number("first", 0)?);
--- a/crates/rosethread_testbed/examples/latency.rs
+++ b/crates/rosethread_testbed/examples/latency.rs
@@ -15,7 +15,7 @@
 use rosethread_config::EngineSpec;
 use rosethread_fakes::{EngineConfig, FakeEngine, prompt_with_length};
 use rosethread_testbed::{
-    Deployment, DeploymentSpec, DocumentBuilder, Latency, key_of, quiet_logger,
+    Deployment, DeploymentSpec, DocumentBuilder, Latency, arguments, key_of, quiet_logger,
 };
 use serde_json::{Value, json};
 
@@ -47,7 +47,11 @@
     let mut options = Options::new();
     options.optopt("r", "rate", "calls a second in all (500)", "N");
     options.optopt("s", "seconds", "how long to measure (10)", "N");
-    let matches = options.parse(std::env::args().skip(1)).map_err(io::Error::other)?;
+    let Some(matches) =
+        arguments("Measures what the system adds to the latency of calls.", options)?
+    else {
+        return Ok(());
+    };
     let rate = matches.opt_get_default("rate", 500_u64).map_err(io::Error::other)?;
     let seconds = matches.opt_get_default("seconds", 10_u64).map_err(io::Error::other)?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
--- a/crates/rosethread_testbed/examples/measure.rs
+++ b/crates/rosethread_testbed/examples/measure.rs
@@ -13,8 +13,11 @@
 use getopts::Options;
 use plotters::prelude::*;
 use rosethread_config::PolicyName;
-use rosethread_testbed::workload::{
-    CONSORTIUM_TODAY, TRAILERWERK_TODAY, Workload, WorkloadReport, WorkloadRun, run_workload,
+use rosethread_testbed::{
+    arguments,
+    workload::{
+        CONSORTIUM_TODAY, TRAILERWERK_TODAY, Workload, WorkloadReport, WorkloadRun, run_workload,
+    },
 };
 use serde::Serialize;
 
@@ -50,7 +53,11 @@
     options.optopt("n", "seeds", "how many seeds (3)", "N");
     options.optopt("j", "json", "where to write the figures", "FILE");
     options.optopt("p", "svg", "where to write the plot", "FILE");
-    let matches = options.parse(std::env::args().skip(1)).map_err(io::Error::other)?;
+    let Some(matches) =
+        arguments("Compares scheduling policies under load, on a paused clock.", options)?
+    else {
+        return Ok(());
+    };
     let workload = match matches.opt_str("deployment").as_deref() {
         None | Some("consortium") => CONSORTIUM_TODAY,
         Some("trailerwerk") => TRAILERWERK_TODAY,
--- a/crates/rosethread_testbed/examples/playground.rs
+++ b/crates/rosethread_testbed/examples/playground.rs
@@ -12,7 +12,7 @@
 use getopts::Options;
 use rosethread_config::PolicyName;
 use rosethread_fakes::EngineConfig;
-use rosethread_testbed::{Scale, consortium_at};
+use rosethread_testbed::{Scale, arguments, consortium_at};
 
 /// The first port.
 const BASE_PORT: u16 = 7_000;
@@ -20,7 +20,10 @@
 fn main() -> io::Result<()> {
     let mut options = Options::new();
     options.optopt("s", "seconds", "how long to run (3600)", "N");
-    let matches = options.parse(std::env::args().skip(1)).map_err(io::Error::other)?;
+    let Some(matches) = arguments("Runs a deployment with stand-ins on fixed ports.", options)?
+    else {
+        return Ok(());
+    };
     let seconds = matches.opt_get_default("seconds", 3_600).map_err(io::Error::other)?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
--- a/crates/rosethread_testbed/src/lib.rs
+++ b/crates/rosethread_testbed/src/lib.rs
@@ -4,6 +4,7 @@
 //! `rosethread_fakes`, and [`Caller`] talks to them as a customer's program would. This crate is
 //! never published.
 
+mod arguments;
 mod caller;
 mod deployment;
 mod document;
@@ -13,6 +14,7 @@
 mod stats;
 pub mod workload;
 
+pub use arguments::arguments;
 pub use caller::{CallError, CallResult, Caller, CallerProgram};
 pub use deployment::{Deployment, DeploymentSpec, quiet_logger, terminal_logger};
 pub use document::{DocumentBuilder, key_of};
