Turns are written by their shard's keeper, paced by the store's rate

Cause (a site of our own making, not kept here: two zones, six hosts, a store of 80 writes and 200 reads a second, five partitions): each host appended each turn by itself, some 60 appends a second besides the ledger's; the store turned calls away and turns were cut. Ruled out: reads (9 a second). Change: a turn goes to the keeper of its shard, which appends what came meanwhile in one call; each shard's writers keep to their part of platform.writes_per_s, with half a second saved up.

--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -13,14 +13,18 @@
 use futures::future::join_all;
 use rosethread_membership::NodeState;
 use rosethread_platform::{Partition, StoreError};
-use rosethread_types::{Reason, Refusal, RequestId, StreamName};
+use rosethread_types::{NodeName, Reason, Refusal, RequestId, StreamName};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, sleep},
+};
 
 use crate::{
     chains::{Chains, Turn},
     entry::Entry,
+    pace::Pace,
     peers::{PeerReply, PeerRequest},
     shards::responsible_for,
 };
@@ -28,6 +32,9 @@
 /// Bytes asked for by one read of a partition.
 const READ_BYTES: usize = 1 << 20;
 
+/// Bytes from which an append takes no further turns.
+const BATCH_BYTES: usize = 512 << 10;
+
 /// Bytes of a record that are not part of the piece of a turn that it holds.
 const PIECE_OVERHEAD: usize = 128;
 
@@ -66,6 +73,7 @@
 pub(crate) struct Turns {
     shards: Mutex<BTreeMap<u32, SharedTurns>>,
     reads: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<()>>>>,
+    writers: Mutex<BTreeMap<u32, mpsc::UnboundedSender<Pending>>>,
 }
 
 impl Turns {
@@ -79,6 +87,17 @@
         reads.entry(index).or_default().clone()
     }
 
+    /// Returns the way to the task that appends a shard's turns, which is started when needed.
+    fn writer(&self, entry: &Arc<Entry>, index: u32) -> mpsc::UnboundedSender<Pending> {
+        let mut writers = self.writers.lock().expect("no holder of the writers panics");
+        let start = || {
+            let (sender, receiver) = mpsc::unbounded_channel();
+            entry.tasks.spawn(append_all(entry.clone(), index, receiver));
+            sender
+        };
+        writers.entry(index).or_insert_with(start).clone()
+    }
+
     /// Forgets turns that have not been used for `age`, and returns the bytes that are left.
     pub(crate) fn expire(&self, now: Duration, age: Duration) -> usize {
         let shards = self.shards.lock().expect("no holder of the turns panics");
@@ -251,12 +270,15 @@
 }
 
 /// Holds a turn that has been written to the log.
-pub(crate) fn keep_here(entry: &Entry, shard: u32, turn: Turn) {
+fn keep_here(entry: &Entry, shard: u32, turn: Turn) {
     let turns = entry.turns.shard(shard);
     lock(&turns).chains.keep(turn, entry.now());
 }
 
-/// Writes a finished turn to the log; the caller may see its end when this returns true.
+/// Writes a finished turn to the log; the caller may see its end when this returns without error.
+///
+/// The keeper of the shard writes, since it collects the turns of all hosts into few appends. Where
+/// it cannot, this host does, and where that fails, another host that reaches the log.
 pub(crate) async fn write(
     entry: &Arc<Entry>,
     shard: u32,
@@ -264,11 +286,19 @@
     deadline: Instant,
 ) -> Result<(), StoreError> {
     loop {
-        let error = match append(entry, shard, &turn).await {
-            Ok(()) => break,
+        let keeper = responsible_for(entry, shard);
+        if let Some(keeper) = keeper.filter(|it| *it != entry.settings.node)
+            && write_by(entry, &keeper, shard, &turn).await
+        {
+            return Ok(());
+        }
+        let error = match write_here(entry, shard, turn.clone()).await {
+            Ok(()) => return Ok(()),
             Err(error) => error,
         };
-        if write_by_peer(entry, shard, &turn).await {
+        if let Some(able) = any_with_log(entry)
+            && write_by(entry, &able, shard, &turn).await
+        {
             return Ok(());
         }
         if !error.is_away() || deadline < Instant::now() + AGAIN {
@@ -276,28 +306,73 @@
         }
         sleep(AGAIN).await;
     }
-    tell_keeper(entry, shard, turn);
-    Ok(())
 }
 
-/// Appends a turn to its shard's partition; a second copy does no harm, so no fence is needed.
-pub(crate) async fn append(entry: &Entry, shard: u32, turn: &Turn) -> Result<(), StoreError> {
-    let records = pieces(turn, entry.settings.platform.record_bytes);
-    entry.metrics.appends.inc();
-    entry.store.append(&partition(shard), &records, None).await.map(drop)
+/// Lets another host write a turn; returns whether it did.
+async fn write_by(entry: &Arc<Entry>, node: &NodeName, shard: u32, turn: &Turn) -> bool {
+    let Some(peer) = entry.view().get(node).map(|it| it.contact.peer) else {
+        return false;
+    };
+    let request = PeerRequest::Write { shard, turn: turn.clone() };
+    matches!(entry.peers.ask(peer, request).await, Ok(PeerReply::Done))
 }
 
-/// Lets a host that reaches the log write a turn; returns whether it did.
-async fn write_by_peer(entry: &Arc<Entry>, shard: u32, turn: &Turn) -> bool {
+/// Returns some other host that reaches the log.
+fn any_with_log(entry: &Entry) -> Option<NodeName> {
     let view = entry.view();
     let is_able = |it: &&NodeState| it.summary.has_log && it.node != entry.settings.node;
     let able: Vec<_> = view.live().filter(is_able).collect();
-    if able.is_empty() {
-        return false;
+    let index = entry.random.bits() as usize % able.len().max(1);
+    able.get(index).map(|it| it.node.clone())
+}
+
+/// Writes a turn with others of its shard, and holds it in memory.
+pub(crate) async fn write_here(
+    entry: &Arc<Entry>,
+    shard: u32,
+    turn: Turn,
+) -> Result<(), StoreError> {
+    let (done, receiver) = oneshot::channel();
+    let pending = Pending { turn: turn.clone(), done };
+    if entry.turns.writer(entry, shard).send(pending).is_err() {
+        return Err(StoreError::Refused("the writer has ended".to_owned()));
+    }
+    let ended = || Err(StoreError::Refused("the writer has ended".to_owned()));
+    receiver.await.unwrap_or_else(|_| ended())?;
+    keep_here(entry, shard, turn);
+    Ok(())
+}
+
+/// A turn and who waits for it to be in the log.
+struct Pending {
+    turn: Turn,
+    done: oneshot::Sender<Result<(), StoreError>>,
+}
+
+/// Appends the turns of one shard, those that came meanwhile together.
+async fn append_all(entry: Arc<Entry>, shard: u32, mut receiver: mpsc::UnboundedReceiver<Pending>) {
+    let mut pace = Pace::new(&entry);
+    while let Some(first) = receiver.recv().await {
+        pace.wait(&entry).await;
+        let mut waiting = vec![first.done];
+        let mut records = pieces(&first.turn, entry.settings.platform.record_bytes);
+        let mut bytes: usize = records.iter().map(Bytes::len).sum();
+        while bytes < BATCH_BYTES
+            && let Ok(next) = receiver.try_recv()
+        {
+            let more = pieces(&next.turn, entry.settings.platform.record_bytes);
+            bytes += more.iter().map(Bytes::len).sum::<usize>();
+            records.extend(more);
+            waiting.push(next.done);
+        }
+        entry.metrics.appends.inc();
+        // A second copy of a turn does no harm, so no fence is needed.
+        let result = entry.store.append(&partition(shard), &records, None).await.map(drop);
+        for done in waiting {
+            // Whoever waited may have gone; the turn is in the log all the same.
+            let _ = done.send(result.clone());
+        }
     }
-    let peer = able[entry.random.bits() as usize % able.len()].contact.peer;
-    let request = PeerRequest::Write { shard, turn: turn.clone() };
-    matches!(entry.peers.ask(peer, request).await, Ok(PeerReply::Done))
 }
 
 fn pieces(turn: &Turn, record_bytes: usize) -> Vec<Bytes> {
@@ -314,22 +389,3 @@
     let encode = |it: Piece| Bytes::from(postcard::to_stdvec(&it).expect("a piece serialises"));
     chunks.map(piece).map(encode).collect()
 }
-
-/// Hands a turn to the host that will be asked for it; otherwise that host reads it from the log.
-pub(crate) fn tell_keeper(entry: &Arc<Entry>, shard: u32, turn: Turn) {
-    let Some(owner) = responsible_for(entry, shard) else {
-        return;
-    };
-    if owner == entry.settings.node {
-        keep_here(entry, shard, turn);
-        return;
-    }
-    let Some(contact) = entry.view().get(&owner).map(|it| it.contact.peer) else {
-        return;
-    };
-    let entry = entry.clone();
-    entry.tasks.clone().spawn(async move {
-        // A host that misses the turn reads it from the log.
-        let _ = entry.peers.ask(contact, PeerRequest::Keep { shard, turn }).await;
-    });
-}
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod life;
 mod load;
 mod metrics;
+mod pace;
 mod peers;
 pub mod ports;
 mod registry;
--- /dev/null
+++ b/crates/rosethread_entry/src/pace.rs
@@ -0,0 +1,47 @@
+//! Keeps all writers together within the calls that the store takes.
+
+use std::time::Duration;
+
+use rosethread_policy::Bucket;
+use tokio::time::sleep;
+
+use crate::entry::Entry;
+
+/// The part of the store's rate that regular writers use; the rest is for claims and repetitions.
+const WRITE_SHARE: f64 = 0.8;
+
+/// The topics that each have one regular writer a shard.
+const TOPICS: f64 = 2.0;
+
+/// The time over which a writer may save up calls.
+const SAVED: Duration = Duration::from_millis(500);
+
+/// The pace of one shard's writer: its part of the store's rate, with some saved up.
+///
+/// A writer that has to wait collects records meanwhile, so a store of a tenth of the rate costs
+/// latency, not refusals.
+pub(crate) struct Pace {
+    bucket: Bucket,
+    rate: f64,
+}
+
+impl Pace {
+    /// Returns the pace of one of a deployment's writers.
+    pub(crate) fn new(entry: &Entry) -> Pace {
+        let platform = &entry.settings.platform;
+        let writers = TOPICS * f64::from(platform.partitions);
+        let rate = platform.writes_per_s * WRITE_SHARE / writers;
+        Pace { bucket: Bucket::new(burst(rate), entry.now()), rate }
+    }
+
+    /// Waits until the next append may be made.
+    pub(crate) async fn wait(&mut self, entry: &Entry) {
+        while let Err(wait) = self.bucket.take(entry.now(), self.rate, burst(self.rate), 1.0) {
+            sleep(wait).await;
+        }
+    }
+}
+
+fn burst(rate: f64) -> f64 {
+    (rate * SAVED.as_secs_f64()).max(1.0)
+}
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -65,14 +65,7 @@
         /// The last turn.
         turn: RequestId,
     },
-    /// Keep a turn that has been written to the log.
-    Keep {
-        /// The program's shard.
-        shard: u32,
-        /// The turn.
-        turn: Turn,
-    },
-    /// Write a turn to the log, which the asking node does not reach.
+    /// Write a turn to the log.
     Write {
         /// The program's shard.
         shard: u32,
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -84,15 +84,8 @@
             PeerReply::Done
         }
         PeerRequest::Chain { shard, turn } => history::chain_here(entry, shard, &turn).await,
-        PeerRequest::Keep { shard, turn } => {
-            history::keep_here(entry, shard, turn);
-            PeerReply::Done
-        }
-        PeerRequest::Write { shard, turn } => match history::append(entry, shard, &turn).await {
-            Ok(()) => {
-                history::tell_keeper(entry, shard, turn);
-                PeerReply::Done
-            }
+        PeerRequest::Write { shard, turn } => match history::write_here(entry, shard, turn).await {
+            Ok(()) => PeerReply::Done,
             Err(error) => PeerReply::Unable(error.to_string()),
         },
         PeerRequest::Yield { shard } => PeerReply::Yielded(shards::give_up(entry, shard)),
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -56,6 +56,8 @@
     pub address: SocketAddr,
     /// The partitions of a topic.
     pub partitions: u32,
+    /// Calls a second that may write, by all hosts together.
+    pub writes_per_s: f64,
     /// How long it keeps records, in seconds.
     pub retention_s: u64,
     /// The largest record, in bytes.
@@ -109,6 +111,9 @@
             partitions,
             rule,
         );
+        let writes = self.platform.writes_per_s;
+        let rule = "must be 1 or more";
+        problems.require(1.0 <= writes, "platform.writes_per_s", writes, rule);
         let retention = self.platform.retention_s;
         problems.require(0 < retention, "platform.retention_s", retention, "must not be 0");
         let record = self.platform.record_bytes;
--- a/crates/rosethread_entry/src/shards/writer.rs
+++ b/crates/rosethread_entry/src/shards/writer.rs
@@ -16,7 +16,7 @@
     time::sleep,
 };
 
-use crate::{entry::Entry, ledger::LedgerRecord, shards::encode};
+use crate::{entry::Entry, ledger::LedgerRecord, pace::Pace, shards::encode};
 
 /// The most records in one append.
 const MAX_BATCH: usize = 512;
@@ -71,7 +71,14 @@
     async fn run(self, mut receiver: mpsc::UnboundedReceiver<Pending>) {
         let mut number = 1;
         let mut batch = Vec::new();
-        while receiver.recv_many(&mut batch, MAX_BATCH).await != 0 {
+        let mut pace = Pace::new(&self.entry);
+        while receiver.recv_many(&mut batch, 1).await != 0 {
+            pace.wait(&self.entry).await;
+            while batch.len() < MAX_BATCH
+                && let Ok(pending) = receiver.try_recv()
+            {
+                batch.push(pending);
+            }
             let (records, waiting): (Vec<Bytes>, Vec<_>) =
                 batch.drain(..).map(|it| (it.record, it.done)).unzip();
             let fence = Fence { epoch: self.epoch, number };
