rosethread-console explain: the story of a request from several nodes' logs

Each log line on the platform names its node. Not done: its cost and that of logs were not measured.

--- a/crates/rosethread/src/main.rs
+++ b/crates/rosethread/src/main.rs
@@ -15,7 +15,7 @@
 use rosethread_config::{Problems, Settings};
 use rosethread_entry::EntrySettings;
 use rosethread_node::NodeProcess;
-use slog::{Logger, error, info};
+use slog::{Logger, error, info, o};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::args::{Action, Args};
@@ -88,6 +88,7 @@
 
 fn serve_platform(settings: EntrySettings, args: &Args) -> ExitCode {
     let logger = logging::logger(args.level, args.format);
+    let logger = logger.new(o!("log_node" => settings.node.to_string()));
     let process = match AdapterProcess::start(settings, logger.clone()) {
         Ok(process) => process,
         Err(error) => return fail(&error),
--- a/crates/rosethread_console/src/args.rs
+++ b/crates/rosethread_console/src/args.rs
@@ -19,6 +19,8 @@
     Diff { old: String, new: String },
     /// Report on service-level burn.
     Report,
+    /// Explain a request or program from logs.
+    Explain { id: String, files: Vec<String> },
     /// Print the version.
     Version,
     /// Print the usage.
@@ -47,7 +49,7 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "the console's settings file, in TOML", "FILE");
-    options.optopt("f", "format", "of the report: text, json or html (text)", "FORMAT");
+    options.optopt("f", "format", "of a report or story: text, json or html (text)", "FORMAT");
     options.optflag("V", "version", "print the version and exit");
     options.optflag("h", "help", "print this text and exit");
     options
@@ -63,7 +65,9 @@
     publish FILE    publish a document, edited from the revision in force
     show            show the document in force, and which nodes lag
     diff OLD NEW    show what differs between two documents
-    report          report on service-level burn";
+    report          report on service-level burn
+    explain ID FILE...
+                    tell the story of a request or program from nodes' logs";
     options().usage(brief)
 }
 
@@ -105,6 +109,9 @@
         ["show"] => Ok(Action::Show),
         ["diff", old, new] => Ok(Action::Diff { old: owned(old), new: owned(new) }),
         ["report"] => Ok(Action::Report),
+        ["explain", id, files @ ..] if !files.is_empty() => {
+            Ok(Action::Explain { id: owned(id), files: files.iter().map(owned).collect() })
+        }
         [] => Err("no command; see --help".to_owned()),
         [other, ..] => Err(format!("{other}: unknown command or wrong arguments; see --help")),
     }
--- a/crates/rosethread_console/src/main.rs
+++ b/crates/rosethread_console/src/main.rs
@@ -5,6 +5,7 @@
 
 mod args;
 mod commands;
+mod explain;
 mod forms;
 mod report;
 mod settings;
@@ -15,7 +16,7 @@
     process::ExitCode,
 };
 
-use crate::args::{Action, Args};
+use crate::args::{Action, Args, ReportFormat};
 
 fn main() -> ExitCode {
     let args = match Args::parse(std::env::args().skip(1)) {
@@ -37,6 +38,9 @@
         Action::Publish { file } => on_runtime(commands::publish(&args.settings()?, file)),
         Action::Show => on_runtime(commands::show(&args.settings()?)),
         Action::Report => on_runtime(report::report(&args.settings()?, args.format)),
+        Action::Explain { id, files } => {
+            explain::explain(id, files, args.format == ReportFormat::Json)
+        }
         Action::Serve => on_runtime(forms::serve(args.settings()?)),
     }
 }
