After the loss of all hosts the log is read by keepers only; strong hosts own shards

From second 36 to the end four of ten programs failed. Change: a host reads a foreign partition only if its keeper cannot be reached; a connection is dropped only if nothing at all came on it; shards go to hosts with at least half of the largest processor share; the directory weighs a host's calls by that share (one cause, its three sides).

--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -29,6 +29,7 @@
             calls: entry.calls.load(Ordering::Relaxed),
             programs: 0,
             has_log: entry.has_log(),
+            power: power(&entry),
             targets: entry.loads.summary(),
         };
         entry.metrics.nodes.set(entry.view().live().count() as i64);
@@ -38,6 +39,11 @@
     }
 }
 
+/// Returns the host's share of a processor, in hundredths.
+fn power(entry: &Entry) -> u16 {
+    (entry.settings.processor * 100.0).clamp(1.0, f64::from(u16::MAX)) as u16
+}
+
 /// Forgets what has not been used for long.
 pub(super) async fn tidy(entry: Arc<Entry>) {
     let mut ticks = entry.timer.every(TIDY_PERIOD);
--- a/crates/rosethread_entry/src/directory.rs
+++ b/crates/rosethread_entry/src/directory.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use rosethread_membership::Summary;
 use rosethread_policy::{HostLoad, order_hosts};
 use rosethread_types::ZoneName;
 
@@ -37,7 +38,7 @@
         .iter()
         .map(|it| HostLoad {
             node: it.node.clone(),
-            calls: it.summary.calls,
+            calls: relative_calls(&it.summary),
             is_near: zone == Some(&it.contact.zone),
         })
         .collect();
@@ -47,3 +48,8 @@
     let keep = if entry.phase() == Phase::Serving { KEEP } else { LEAVING_KEEP };
     Directions { addresses, keep: keep.min(longest) }
 }
+
+/// Returns a host's calls as if it had a whole processor.
+fn relative_calls(summary: &Summary) -> u32 {
+    summary.calls.saturating_mul(100) / u32::from(summary.power.max(1))
+}
--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -25,7 +25,7 @@
     chains::{Chains, Turn},
     entry::Entry,
     pace::Pace,
-    peers::{PeerReply, PeerRequest},
+    peers::{PeerError, PeerReply, PeerRequest},
     shards::responsible_for,
 };
 
@@ -192,7 +192,9 @@
     match entry.peers.ask(contact, request).await {
         Ok(reply) => reply,
         // The log knows as much as the host that cannot be reached.
-        Err(_) => chain_here(entry, shard, turn).await,
+        Err(PeerError::Unreachable(_)) => chain_here(entry, shard, turn).await,
+        // A host that is slow may be reading the log just now; another reader would slow it more.
+        Err(error @ PeerError::TimedOut) => PeerReply::Unable(error.to_string()),
     }
 }
 
--- a/crates/rosethread_entry/src/peers/client.rs
+++ b/crates/rosethread_entry/src/peers/client.rs
@@ -12,8 +12,8 @@
 use futures::{SinkExt, StreamExt};
 use tokio::{
     net::TcpStream,
-    sync::{mpsc, oneshot},
-    time::timeout,
+    sync::{mpsc, oneshot, watch},
+    time::{Instant, timeout},
 };
 use tokio_util::codec::Framed;
 
@@ -36,6 +36,8 @@
     number: u64,
     frames: mpsc::Sender<Bytes>,
     waiting: Waiting,
+    /// When something arrived last.
+    heard: watch::Receiver<Instant>,
 }
 
 #[derive(Default)]
@@ -63,14 +65,16 @@
         }
         let unreachable = |it: std::io::Error| PeerError::Unreachable(it.to_string());
         let connecting = timeout(CONNECT_TIME, TcpStream::connect(to)).await;
-        let socket = connecting.map_err(|_| PeerError::TimedOut)?.map_err(unreachable)?;
+        let late = |_| PeerError::Unreachable("the connection was not made in time".to_owned());
+        let socket = connecting.map_err(late)?.map_err(unreachable)?;
         socket.set_nodelay(true).map_err(unreachable)?;
         let (frames, receiver) = mpsc::channel(SEND_BUFFER);
         let waiting = Waiting::default();
-        tokio::spawn(carry(socket, receiver, waiting.clone()));
+        let (hears, heard) = watch::channel(Instant::now());
+        tokio::spawn(carry(socket, receiver, waiting.clone(), hears));
         let mut connections = self.lock();
         connections.next += 1;
-        let connection = Connection { number: connections.next, frames, waiting };
+        let connection = Connection { number: connections.next, frames, waiting, heard };
         connections.open.insert(to, connection.clone());
         Ok(connection)
     }
@@ -97,6 +101,7 @@
         let frame = postcard::to_stdvec(&(id, request))
             .map_err(|it| PeerError::Unreachable(it.to_string()))?;
         connection.waiting.lock().expect("no holder panics").insert(id, sender);
+        let asked = Instant::now();
         let result = timeout(REPLY_TIME, async {
             let closed = PeerError::Unreachable("the connection was closed".to_owned());
             if connection.frames.send(frame.into()).await.is_err() {
@@ -106,7 +111,8 @@
         });
         let result = result.await.unwrap_or(Err(PeerError::TimedOut));
         connection.waiting.lock().expect("no holder panics").remove(&id);
-        if result.is_err() {
+        // A node that is slow with one request may answer others on the same connection.
+        if result.is_err() && *connection.heard.borrow() <= asked {
             self.abandon(to, connection.number);
         }
         result
@@ -114,7 +120,12 @@
 }
 
 /// Writes requests and hands replies to those who wait, until either side closes.
-async fn carry(socket: TcpStream, mut frames: mpsc::Receiver<Bytes>, waiting: Waiting) {
+async fn carry(
+    socket: TcpStream,
+    mut frames: mpsc::Receiver<Bytes>,
+    waiting: Waiting,
+    hears: watch::Sender<Instant>,
+) {
     let (mut sink, mut stream) = Framed::new(socket, codec()).split();
     loop {
         tokio::select! {
@@ -127,7 +138,10 @@
                 }
             }
             reply = stream.next() => match reply {
-                Some(Ok(frame)) => deliver(&frame, &waiting),
+                Some(Ok(frame)) => {
+                    hears.send_replace(Instant::now());
+                    deliver(&frame, &waiting);
+                }
                 _ => break,
             },
         }
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -14,6 +14,8 @@
     pub node: NodeName,
     /// The host's availability zone.
     pub zone: ZoneName,
+    /// The host's share of a processor; work between hosts follows it.
+    pub processor: f64,
     /// Which scheduling policy is followed.
     #[serde(default)]
     pub policy: PolicyName,
@@ -90,6 +92,9 @@
     /// Checks all rules that the types do not express.
     pub fn validate(&self) -> Result<(), Problems> {
         let mut problems = Problems::default();
+        let processor = self.processor;
+        let rule = "must be above 0, and 1000 at most";
+        problems.require(0.0 < processor && processor <= 1_000.0, "processor", processor, rule);
         let addresses = &self.addresses;
         let ports = [
             ("addresses.caller", addresses.caller),
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -118,11 +118,15 @@
 /// Returns the nodes that may be responsible for a shard by this node's view, the likeliest first.
 ///
 /// A node that does not reach the log can claim nothing, so others come before it. While the log is
-/// away for all, nothing has to be claimed, and the first by hash still owns the shard.
+/// away for all, nothing has to be claimed, and the first by hash still owns the shard. A shard's
+/// turns are much work for one host, so hosts with little of a processor own none.
 pub(crate) fn candidates_for(entry: &Entry, index: u32) -> Vec<NodeName> {
     let view = entry.view();
     let key = format!("shard-{index}");
-    let with_log = view.live().filter(|it| it.summary.has_log).map(|it| &it.node);
+    let most = view.live().map(|it| it.summary.power).max().unwrap_or(0);
+    let is_able =
+        |it: &&NodeState| it.summary.has_log && most <= it.summary.power.saturating_mul(2);
+    let with_log = view.live().filter(is_able).map(|it| &it.node);
     let first = rank(&key, with_log).into_iter().next();
     let by_hash = responsible(&view, &key).filter(|it| Some(it) != first.as_ref());
     first.into_iter().chain(by_hash).collect()
--- a/crates/rosethread_entry/tests/settings.rs
+++ b/crates/rosethread_entry/tests/settings.rs
@@ -6,6 +6,7 @@
 node = "front-a-1"
 zone = "a"
 seeds = ["10.1.0.1:8000"]
+processor = 0.25
 
 [addresses]
 caller = "10.1.0.1:8001"
@@ -44,6 +45,7 @@
     a_port_of_zero: ("10.1.0.1:8001", "10.1.0.1:0", "addresses.caller = 10.1.0.1:0: the port");
     no_partitions: ("partitions = 12", "partitions = 0", "platform.partitions = 0: must be from 1");
     no_writes: ("writes_per_s = 800", "writes_per_s = 0", "platform.writes_per_s = 0: must be 1");
+    no_processor: ("processor = 0.25", "processor = 0", "processor = 0: must be above 0");
     no_history: ("retention_s = 300", "retention_s = 0", "platform.retention_s = 0: must not be 0");
     tiny_records: ("record_bytes = 262144", "record_bytes = 9", "platform.record_bytes = 9");
     a_short_grace: ("grace_s = 8.0", "grace_s = 0.5", "bounds.grace_s = 0.5: must be from 1");
--- a/crates/rosethread_membership/src/state.rs
+++ b/crates/rosethread_membership/src/state.rs
@@ -55,6 +55,8 @@
     pub programs: u32,
     /// Whether it reaches the shared log.
     pub has_log: bool,
+    /// Its host's share of a processor, in hundredths; zero if it does not say.
+    pub power: u16,
     /// The load of the targets that it owns.
     pub targets: Vec<TargetLoad>,
 }
--- a/crates/rosethread_node/src/control/periodic.rs
+++ b/crates/rosethread_node/src/control/periodic.rs
@@ -48,6 +48,7 @@
         calls: core.calls.load(Ordering::Relaxed),
         programs: core.owned_count() as u32,
         has_log: core.journal.is_up(),
+        power: 0,
         targets: target_loads(core),
     }
 }
