Ledgers are handed on while the store is away; a claim is read back; working owners stay

Change: it hands each ledger on to the next host, which grants under the same ceilings and claims the shard when the store answers again. Change: epochs carry a random part, and a claim is read back. What is handed over carries the epoch from which it comes and is dropped if that is not the last. A claimant asks the owner first, which stays if it reaches the log: shards had changed hands ten times in 0.2 s as the store came back, since others' views of it were a second old.

--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use rosethread_membership::{Contact, View};
+use rosethread_membership::{Contact, Status, View};
 use rosethread_platform::{Clock, SharedLog};
 use rosethread_runtime::{Datagrams, Random, Tasks, Timer};
 use rosethread_types::{Incarnation, TargetName};
@@ -195,7 +195,8 @@
     /// Tells whether neither the store nor any other host can be reached.
     pub(crate) fn is_isolated(&self) -> bool {
         let view = self.view();
-        !self.has_log() && 1 < view.nodes.len() && view.live().count() <= 1
+        let heard = view.nodes.values().filter(|it| it.status < Status::Suspect).count();
+        !self.has_log() && 1 < view.nodes.len() && heard <= 1
     }
 
     fn log_age(&self) -> Duration {
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -111,7 +111,7 @@
 }
 
 /// The account of one program.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Account {
     budget: Tokens,
     /// What is certainly spent.
@@ -147,7 +147,7 @@
 }
 
 /// The accounts of one shard at its owner; time is the duration since the process's start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
     /// Earlier owners that may have granted tokens to programs without a record.
     earlier: u64,
@@ -254,8 +254,9 @@
         if !is_settled || std::mem::replace(&mut account.is_spent_recorded, true) {
             return None;
         }
-        let (budget, tokens) = (account.budget, account.spent);
-        Some(LedgerRecord::Settled { program: program.clone(), budget, tokens })
+        let (budget, spent) = (account.budget, account.spent);
+        // It lowers no ceiling: the ledger stays open, and smaller turns may follow.
+        Some(LedgerRecord::Ceiling { program: program.clone(), budget, spent, tokens: spent })
     }
 
     /// Returns the record of a ceiling.
@@ -298,6 +299,28 @@
         }
     }
 
+    /// Closes the ledger, and returns a copy with which another host goes on in this owner's stead.
+    ///
+    /// Exactly one of the two grants from then on, under the same ceilings, so nothing has to be
+    /// recorded. Records that were submitted here count as lost.
+    pub fn hand_on(&mut self, now: Duration) -> Ledger {
+        let mut copy = self.clone();
+        self.is_closed = true;
+        for account in copy.accounts.values_mut() {
+            account.coming = None;
+            // The other host counts time from its own start.
+            account.used = now.saturating_sub(account.used);
+        }
+        copy
+    }
+
+    /// Begins to count time at this host, for a ledger that another has handed on.
+    pub fn take_on(&mut self, now: Duration) {
+        for account in self.accounts.values_mut() {
+            account.used = now.saturating_sub(account.used);
+        }
+    }
+
     /// Closes the ledger, and returns the records that let a successor go on with exact accounts.
     ///
     /// Turns under way stay uncertain, since their ends will not be heard of here.
--- a/crates/rosethread_entry/src/life.rs
+++ b/crates/rosethread_entry/src/life.rs
@@ -69,7 +69,11 @@
             warn!(entry.logger, "entry: membership has ended before the drain");
         }
         for (index, _) in entry.shards.all() {
-            shards::release(entry, index).await;
+            if entry.has_log() {
+                shards::release(entry, index).await;
+            } else {
+                shards::hand_on(entry, index).await;
+            }
         }
         EntryNode { entry: self.entry, members: self.members, since, state: PhantomData }
     }
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -19,9 +19,10 @@
 
 use crate::{
     chains::Turn,
-    ledger::{Ask, LedgerRecord, Settlement, Verdict},
+    ledger::{Ask, Ledger, Settlement, Verdict},
     registry::Target,
     routes::Routes,
+    shards::Yielded,
 };
 
 pub use client::TcpPeers;
@@ -72,6 +73,15 @@
         /// The turn.
         turn: Turn,
     },
+    /// Go on with a shard in the stead of its owner, which stops while the log is away.
+    TakeOn {
+        /// The shard.
+        shard: u32,
+        /// The epoch of the claim from which the accounts come.
+        epoch: u64,
+        /// Its accounts, which grant only here from now on.
+        ledger: Box<Ledger>,
+    },
     /// Stop granting for a shard, and hand its accounts over.
     Yield {
         /// The shard.
@@ -94,8 +104,8 @@
     NoTurn,
     /// The request was carried out.
     Done,
-    /// The accounts of a shard that the node has given up; empty if it did not own the shard.
-    Yielded(Vec<LedgerRecord>),
+    /// The accounts of a shard that the node has given up, if it had any.
+    Yielded(Option<Yielded>),
     /// The routes in force.
     Routes(Routes),
     /// The targets, and how old the knowledge is, in milliseconds.
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -88,7 +88,11 @@
             Ok(()) => PeerReply::Done,
             Err(error) => PeerReply::Unable(error.to_string()),
         },
-        PeerRequest::Yield { shard } => PeerReply::Yielded(shards::give_up(entry, shard)),
+        PeerRequest::TakeOn { shard, epoch, ledger } => {
+            shards::take_on(entry, shard, epoch, *ledger);
+            PeerReply::Done
+        }
+        PeerRequest::Yield { shard } => shards::answer_claimant(entry, shard),
         PeerRequest::Routes => PeerReply::Routes((*entry.routes()).clone()),
         PeerRequest::Targets => control::targets_reply(entry),
     }
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -17,11 +17,12 @@
 use rosethread_membership::{NodeState, Status, rank, responsible};
 use rosethread_platform::{Fence, Partition, StoreError};
 use rosethread_types::{Digest, Incarnation, NodeName, ProgramLabel, StreamName};
+use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::{
-    entry::Entry,
+    entry::{Entry, Phase},
     ledger::{Ledger, LedgerRecord},
     peers::{PeerReply, PeerRequest},
 };
@@ -31,8 +32,11 @@
 /// Bytes asked for by one read of a partition.
 const READ_BYTES: usize = 1 << 20;
 
+/// Epochs in a millisecond, so that hosts which claim at the same time take different ones.
+const EPOCHS_PER_MS: u64 = 1_000;
+
 /// How much higher the next epoch is after one was refused: clocks of hosts differ by less.
-const EPOCH_STEP: u64 = 10_000;
+const EPOCH_STEP: u64 = 10_000 * EPOCHS_PER_MS;
 
 /// How often a claim takes a higher epoch before it gives up.
 const MAX_EPOCHS: u32 = 5;
@@ -42,8 +46,12 @@
 
 /// A shard that this node owns.
 pub(crate) struct Shard {
+    /// The epoch of the claim from which the accounts come.
+    epoch: u64,
     ledger: Mutex<Ledger>,
-    writer: Writer,
+    /// The way of records to the log; absent for a shard that was handed on without the log, which
+    /// grants no more than its ceilings until it is claimed.
+    writer: Option<Writer>,
     is_lost: Arc<AtomicBool>,
 }
 
@@ -54,7 +62,11 @@
 
     /// Queues a record; the receiver tells whether it has reached the log.
     pub(crate) fn record(&self, record: LedgerRecord) -> oneshot::Receiver<bool> {
-        self.writer.submit(record)
+        match &self.writer {
+            Some(writer) => writer.submit(record),
+            // The dropped sender tells that nothing was recorded.
+            None => oneshot::channel().1,
+        }
     }
 
     fn is_lost(&self) -> bool {
@@ -144,12 +156,17 @@
 
 /// Returns the shard, claiming it first if this node is responsible for it.
 pub(crate) async fn own(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, NotOwned> {
-    if let Some(shard) = entry.shards.get(index) {
+    let usable = || entry.shards.get(index).filter(|it| it.writer.is_some() || !entry.has_log());
+    if let Some(shard) = usable() {
         return Ok(shard);
     }
+    if Phase::Serving < entry.phase() {
+        let owner = entry.shards.last_owner(index);
+        return Err(NotOwned { owner, detail: "this node is stopping".to_owned() });
+    }
     let lock = entry.shards.claim_lock(index);
     let _claiming = lock.lock().await;
-    if let Some(shard) = entry.shards.get(index) {
+    if let Some(shard) = usable() {
         return Ok(shard);
     }
     if !candidates_for(entry, index).contains(&entry.settings.node) {
@@ -209,8 +226,10 @@
         return Err(NotOwned { owner: Some(owner), detail });
     }
     let before = seen.epoch;
+    let own = give_up(entry, index).filter(|it| it.epoch == seen.epoch);
     let handed_over = match seen.owner.clone().filter(|_| !seen.is_released) {
-        Some((owner, run)) => ask_to_yield(entry, index, &owner, run).await,
+        _ if let Some(own) = own => own.records,
+        Some((owner, run)) => ask_to_yield(entry, index, &owner, run, seen.epoch).await?,
         None => Vec::new(),
     };
     let epoch = fence(entry, index, seen.epoch).await?;
@@ -223,13 +242,14 @@
     let owner = entry.settings.node.clone();
     let claim = LedgerRecord::Claim { epoch, owner, run: entry.incarnation };
     let records: Vec<Bytes> = handed_over.iter().chain([&claim]).map(encode).collect();
-    append_claim(entry, index, &records, Fence { epoch, number: 0 }).await?;
+    let first = append_claim(entry, index, &records, Fence { epoch, number: 0 }).await?;
+    check_claim(entry, index, first + handed_over.len() as u64, &claim).await?;
     info!(entry.logger, "shards: claimed"; "shard" => index, "epoch" => epoch,
         "after_epoch" => seen.epoch, "former_owner" => seen.owner.as_ref().map_or("none", |(it, _)| it.as_str()),
         "released" => seen.is_released, "handed_over" => handed_over.len(), "records" => seen.records, "programs" => seen.ledger.len());
     let is_lost = Arc::new(AtomicBool::new(false));
     let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
-    Ok(Arc::new(Shard { ledger: Mutex::new(seen.ledger), writer, is_lost }))
+    Ok(Arc::new(Shard { epoch, ledger: Mutex::new(seen.ledger), writer: Some(writer), is_lost }))
 }
 
 /// Appends the claim's records, once more if the first answer was lost.
@@ -238,21 +258,36 @@
     index: u32,
     records: &[Bytes],
     fence: Fence,
-) -> Result<(), StoreError> {
+) -> Result<u64, StoreError> {
     let partition = partition(index);
     entry.metrics.appends.inc();
     match entry.store.append(&partition, records, Some(fence)).await {
         Err(StoreError::Unanswered(_)) => {
             entry.metrics.appends.inc();
-            entry.store.append(&partition, records, Some(fence)).await.map(drop)
+            entry.store.append(&partition, records, Some(fence)).await
         }
-        result => result.map(drop),
+        result => result,
     }
 }
 
+/// Reads a claim back: of two hosts that took the same epoch, the log takes the second for a
+/// repetition of the first, and writes nothing.
+async fn check_claim(
+    entry: &Entry,
+    index: u32,
+    offset: u64,
+    claim: &LedgerRecord,
+) -> Result<(), StoreError> {
+    let read = entry.store.read(&partition(index), offset, READ_BYTES, Duration::ZERO).await?;
+    let found = read.entries.first().filter(|it| it.offset == offset);
+    let found = found.and_then(|it| postcard::from_bytes(&it.data).ok());
+    if found.as_ref() == Some(claim) { Ok(()) } else { Err(StoreError::Fenced) }
+}
+
 /// Takes an epoch above all that the log has seen.
 async fn fence(entry: &Entry, index: u32, last: u64) -> Result<u64, StoreError> {
-    let mut epoch = entry.clock.now_ms().max(last + 1);
+    let own = entry.random.bits() % EPOCHS_PER_MS;
+    let mut epoch = (entry.clock.now_ms() * EPOCHS_PER_MS + own).max(last + 1 + own);
     for _ in 0..MAX_EPOCHS {
         match entry.store.fence(&partition(index), epoch).await {
             Err(StoreError::Fenced) => epoch += EPOCH_STEP,
@@ -268,32 +303,57 @@
     index: u32,
     owner: &NodeName,
     run: Incarnation,
-) -> Vec<LedgerRecord> {
+    epoch: u64,
+) -> Result<Vec<LedgerRecord>, NotOwned> {
     let view = entry.view();
     let is_asked = |it: &&NodeState| {
         it.status < Status::Suspect && it.incarnation == run && it.node != entry.settings.node
     };
     let Some(running) = view.get(owner).filter(is_asked) else {
-        return Vec::new();
+        return Ok(Vec::new());
     };
     match entry.peers.ask(running.contact.peer, PeerRequest::Yield { shard: index }).await {
-        Ok(PeerReply::Yielded(records)) => records,
+        // Accounts of another claim than the last one say nothing of what followed it.
+        Ok(PeerReply::Yielded(Some(yielded))) if yielded.epoch == epoch => Ok(yielded.records),
+        Ok(PeerReply::Yielded(_)) => Ok(Vec::new()),
+        // What this host believed of the owner was out of date.
+        Ok(PeerReply::OwnedBy(owner)) => {
+            let detail = format!("{owner} reaches the log again");
+            Err(NotOwned { owner: Some(owner), detail })
+        }
         reply => {
             warn!(entry.logger, "shards: the former owner did not yield"; "shard" => index,
                 "owner" => %owner, "reply" => ?reply);
-            Vec::new()
+            Ok(Vec::new())
         }
     }
 }
 
+/// Answers another host that wants to claim a shard: an owner that can do its work stays.
+pub(crate) fn answer_claimant(entry: &Entry, index: u32) -> PeerReply {
+    let shard = entry.shards.get(index);
+    let is_working = entry.phase() == Phase::Serving && entry.has_log();
+    if is_working && shard.is_some_and(|it| it.writer.is_some()) {
+        return PeerReply::OwnedBy(entry.settings.node.clone());
+    }
+    PeerReply::Yielded(give_up(entry, index))
+}
+
+/// The accounts of a shard that a node has given up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Yielded {
+    /// The epoch of the claim from which they come.
+    pub epoch: u64,
+    /// What a successor has to know.
+    pub records: Vec<LedgerRecord>,
+}
+
 /// Stops granting for a shard, and returns what its successor has to know.
-pub(crate) fn give_up(entry: &Entry, index: u32) -> Vec<LedgerRecord> {
-    let Some(shard) = entry.shards.owned().remove(&index) else {
-        return Vec::new();
-    };
+pub(crate) fn give_up(entry: &Entry, index: u32) -> Option<Yielded> {
+    let shard = entry.shards.owned().remove(&index)?;
     let is_lost = shard.is_lost.swap(true, Ordering::Relaxed);
     info!(entry.logger, "shards: given up"; "shard" => index, "was_lost" => is_lost);
-    if is_lost { Vec::new() } else { shard.ledger().release() }
+    (!is_lost).then(|| Yielded { epoch: shard.epoch, records: shard.ledger().release() })
 }
 
 /// What a partition has told so far.
@@ -358,6 +418,47 @@
     postcard::to_stdvec(record).expect("a record serialises").into()
 }
 
+/// Hands a shard on to the host that is next for it, where the log is away: nobody could claim it.
+///
+/// Returns whether that host has taken it on.
+pub(crate) async fn hand_on(entry: &Arc<Entry>, index: u32) -> bool {
+    let view = entry.view();
+    let others = view.live().filter(|it| it.node != entry.settings.node).map(|it| &it.node);
+    let Some(next) = rank(&format!("shard-{index}"), others).into_iter().next() else {
+        return false;
+    };
+    let Some(shard) = entry.shards.owned().remove(&index) else {
+        return false;
+    };
+    let ledger = shard.ledger().hand_on(entry.now());
+    shard.is_lost.store(true, Ordering::Relaxed);
+    let Some(peer) = view.get(&next).map(|it| it.contact.peer) else {
+        return false;
+    };
+    let epoch = shard.epoch;
+    let request = PeerRequest::TakeOn { shard: index, epoch, ledger: Box::new(ledger) };
+    let is_taken = matches!(entry.peers.ask(peer, request).await, Ok(PeerReply::Done));
+    info!(entry.logger, "shards: handed on"; "shard" => index, "to" => %next, "taken" => is_taken);
+    entry.shards.set_owner(index, Some(next));
+    is_taken
+}
+
+/// Goes on with a shard in the stead of its owner, which has closed its ledger.
+///
+/// Accounts from an earlier claim than this node's own are dropped: they are out of date here.
+pub(crate) fn take_on(entry: &Entry, index: u32, epoch: u64, mut ledger: Ledger) {
+    ledger.take_on(entry.now());
+    let mut owned = entry.shards.owned();
+    let is_newer = owned.get(&index).is_none_or(|it| it.is_lost() && it.epoch <= epoch);
+    info!(entry.logger, "shards: taken on"; "shard" => index, "epoch" => epoch,
+        "programs" => ledger.len(), "kept" => is_newer);
+    if is_newer {
+        let ledger = Mutex::new(ledger);
+        let shard = Shard { epoch, ledger, writer: None, is_lost: Arc::default() };
+        owned.insert(index, Arc::new(shard));
+    }
+}
+
 /// Stops granting for a shard and records its accounts, so that a successor knows them exactly.
 pub(crate) async fn release(entry: &Arc<Entry>, index: u32) {
     let Some(shard) = entry.shards.owned().remove(&index) else {
--- a/crates/rosethread_entry/tests/ledger.rs
+++ b/crates/rosethread_entry/tests/ledger.rs
@@ -31,6 +31,8 @@
     HandOver,
     /// An owner settles all accounts in the log and stops.
     Release,
+    /// The last owner hands its ledger on to another host, which goes on without the log.
+    HandOn,
 }
 
 /// No state is needed to generate steps: any order may come.
@@ -55,6 +57,7 @@
             1 => Just(Step::Claim),
             1 => Just(Step::HandOver),
             1 => Just(Step::Release),
+            1 => Just(Step::HandOn),
         ]
         .boxed()
     }
@@ -225,6 +228,13 @@
                 let records = world.owners[last].ledger.release();
                 world.claim(&records);
             }
+            Step::HandOn => {
+                let last = world.owner(0);
+                let ledger = world.owners[last].ledger.hand_on(NOW);
+                // An epoch of zero can write nothing: the log has seen a higher one.
+                let owner = Owner { epoch: 0, ledger, queued: Vec::new(), waiting: Vec::new() };
+                world.owners.push(owner);
+            }
             Step::Release => {
                 let last = world.owner(0);
                 let records = world.owners[last].ledger.release();
