--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -64,8 +64,6 @@
     pub retention_s: u64,
     /// The largest record, in bytes.
     pub record_bytes: usize,
-    /// The time between two reports of a target, in milliseconds.
-    pub heartbeat_ms: u64,
 }
 
 /// Times that the platform's operators have agreed on with their users.
@@ -74,8 +72,6 @@
 pub struct Bounds {
     /// From the request to stop to the process's end, in seconds.
     pub grace_s: f64,
-    /// From an event's arrival to its passing on, in milliseconds.
-    pub pass_ms: f64,
     /// The longest time for which callers may keep an answer of the directory, in seconds.
     pub keep_s: f64,
 }
--- a/crates/rosethread_entry/tests/settings.rs
+++ b/crates/rosethread_entry/tests/settings.rs
@@ -26,11 +26,9 @@
 writes_per_s = 800
 retention_s = 300
 record_bytes = 262144
-heartbeat_ms = 1200
 
 [bounds]
 grace_s = 8.0
-pass_ms = 120
 keep_s = 5
 "#;
 
