A running process takes over changed settings

Cause: SIGHUP was logged only; settings files change while hosts run (the users' grown sites), and a host whose share of a processor changed went on with the old one until its next start. Ruled out: starting the process again at SIGHUP (it would cut calls). Change: SIGHUP reads the file again. The share of the processor, the policy, the store's rate and the times of `bounds` are taken over; a change of anything else is logged with the names of the fields that need another start; a bad file is logged with its field, and the former settings stay. Before: no test; the log said that settings are read at the next start.

--- a/crates/rosethread/src/main.rs
+++ b/crates/rosethread/src/main.rs
@@ -13,7 +13,7 @@
 
 use rosethread_adapter::AdapterProcess;
 use rosethread_config::{Problems, Settings};
-use rosethread_entry::EntrySettings;
+use rosethread_entry::{Entry, EntrySettings};
 use rosethread_node::NodeProcess;
 use slog::{Logger, error, info, o};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -78,7 +78,11 @@
         Ok(process) => process,
         Err(error) => return fail(&error),
     };
-    let stop = async { Stop::new()?.wait(logger).await };
+    let reload = || info!(logger, "settings: read at the next start");
+    let stop = async {
+        Signals::new()?.until_stop(logger.clone(), reload).await;
+        io::Result::Ok(())
+    };
     if let Err(error) = process.runtime().block_on(stop) {
         return fail(&format!("signals cannot be received: {error}"));
     }
@@ -93,11 +97,11 @@
         Ok(process) => process,
         Err(error) => return fail(&error),
     };
+    let entry = process.entry();
     process.run_until(async {
-        match Stop::new() {
-            Ok(stop) => {
-                // The only error would be one of the settings file, which is not fatal.
-                let _ = stop.wait(logger).await;
+        match Signals::new() {
+            Ok(signals) => {
+                signals.until_stop(logger, || reload(&entry, args)).await;
             }
             Err(error) => {
                 error!(logger, "process: signals cannot be received"; "error" => %error);
@@ -107,31 +111,44 @@
     ExitCode::SUCCESS
 }
 
+/// Reads the settings again; where they are bad, the process goes on with those that it has.
+fn reload(entry: &Entry, args: &Args) {
+    match load(args, EntrySettings::parse) {
+        Ok(settings) => entry.reload(&settings),
+        Err(error) => {
+            error!(entry.logger(), "settings: not reloaded, the former ones stay";
+                "error" => error);
+        }
+    }
+}
+
 /// The signals that the process listens to.
-struct Stop {
+struct Signals {
     terminate: Signal,
     interrupt: Signal,
     reload: Signal,
 }
 
-impl Stop {
-    fn new() -> io::Result<Stop> {
-        Ok(Stop {
+impl Signals {
+    fn new() -> io::Result<Signals> {
+        Ok(Signals {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
             reload: signal(SignalKind::hangup())?,
         })
     }
 
-    /// Waits for the first signal to stop; later ones change nothing, so that no stream is cut.
-    async fn wait(mut self, logger: Logger) -> io::Result<()> {
+    /// Reloads at each signal to do so, until the first signal to stop; later ones change nothing,
+    /// so that no stream is cut.
+    async fn until_stop(mut self, logger: Logger, reload: impl Fn()) {
         loop {
             tokio::select! {
                 biased;
                 _ = self.terminate.recv() => break,
                 _ = self.interrupt.recv() => break,
                 _ = self.reload.recv() => {
-                    info!(logger, "process: told to reload; settings are read at the next start");
+                    info!(logger, "process: told to reload");
+                    reload();
                 }
             }
         }
@@ -147,6 +164,5 @@
                 }
             }
         });
-        Ok(())
     }
 }
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -81,7 +81,7 @@
         turn: draw,
     };
     let weights = Weights { latency: 1.0, waste: WASTE_WEIGHT };
-    let placement = place(strategy(entry.settings.policy), &candidates, request, weights)?;
+    let placement = place(strategy(entry.tuning().policy), &candidates, request, weights)?;
     let running = candidates[placement.index].running;
     Some(Chosen { target: usable[placement.index].clone(), connections, running })
 }
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -41,7 +41,7 @@
 
 /// Returns the host's share of a processor, in hundredths.
 fn power(entry: &Entry) -> u16 {
-    (entry.settings.processor * 100.0).clamp(1.0, f64::from(u16::MAX)) as u16
+    (entry.tuning().processor * 100.0).clamp(1.0, f64::from(u16::MAX)) as u16
 }
 
 /// Forgets what has not been used for long.
--- a/crates/rosethread_entry/src/directory.rs
+++ b/crates/rosethread_entry/src/directory.rs
@@ -44,7 +44,7 @@
         .collect();
     let order = order_hosts(&loads, MAX_HOSTS, || entry.random.fraction());
     let addresses = order.into_iter().map(|it| ready[it].contact.caller).collect();
-    let longest = Duration::from_secs_f64(entry.settings.bounds.keep_s);
+    let longest = Duration::from_secs_f64(entry.tuning().bounds.keep_s);
     let keep = if entry.phase() == Phase::Serving { KEEP } else { LEAVING_KEEP };
     Directions { addresses, keep: keep.min(longest) }
 }
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -13,7 +13,7 @@
 use rosethread_platform::{Clock, SharedLog};
 use rosethread_runtime::{Datagrams, Random, Tasks, Timer};
 use rosethread_types::{Incarnation, TargetName};
-use slog::Logger;
+use slog::{Logger, info, warn};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -24,7 +24,7 @@
     ports::{RoutesSource, TargetsSource, Upstream},
     registry::{Registry, Target},
     routes::Routes,
-    settings::EntrySettings,
+    settings::{EntrySettings, Tuning},
     shards::Shards,
 };
 
@@ -72,7 +72,9 @@
 
 /// The shared state of an entry.
 pub struct Entry {
+    /// As they were at the start; what may change since is in `tuning`.
     pub(crate) settings: EntrySettings,
+    tuning: watch::Sender<Arc<Tuning>>,
     pub(crate) clock: Clock,
     pub(crate) start: Instant,
     pub(crate) incarnation: Incarnation,
@@ -121,6 +123,7 @@
             shards: Shards::default(),
             turns: Turns::default(),
             calls: AtomicU32::new(0),
+            tuning: watch::Sender::new(Arc::new(parts.settings.tuning())),
             settings: parts.settings,
             clock: parts.clock,
             store: parts.store,
@@ -140,6 +143,26 @@
         &self.settings
     }
 
+    /// Returns the settings that may change while the process runs.
+    pub(crate) fn tuning(&self) -> Arc<Tuning> {
+        self.tuning.borrow().clone()
+    }
+
+    /// Takes over what may change of new settings, and logs what needs another start.
+    pub fn reload(&self, settings: &EntrySettings) {
+        let fixed = self.settings.fixed_changes(settings);
+        if !fixed.is_empty() {
+            warn!(self.logger, "settings: some changes need another start"; "fields" => ?fixed);
+        }
+        let tuning = settings.tuning();
+        let is_changed = tuning != *self.tuning();
+        info!(self.logger, "settings: reloaded"; "changed" => is_changed,
+            "processor" => tuning.processor, "policy" => ?tuning.policy,
+            "writes_per_s" => tuning.writes_per_s, "grace_s" => tuning.bounds.grace_s,
+            "keep_s" => tuning.bounds.keep_s);
+        self.tuning.send_replace(Arc::new(tuning));
+    }
+
     /// Returns the logger.
     pub fn logger(&self) -> &Logger {
         &self.logger
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -41,6 +41,6 @@
 pub use peers::{PeerLink, PeerReply, PeerRequest, TcpPeers, serve_peers};
 pub use registry::{RETURN_GRACE, Registry, Target, TargetStatus};
 pub use routes::{ClientLimits, Engine, Route, RouteKind, Routes, Service, Share};
-pub use settings::{Bounds, EntryAddresses, EntrySettings, PlatformSettings};
+pub use settings::{Bounds, EntryAddresses, EntrySettings, PlatformSettings, Tuning};
 pub use shards::Yielded;
 pub use stream::Interrupted;
--- a/crates/rosethread_entry/src/life.rs
+++ b/crates/rosethread_entry/src/life.rs
@@ -83,7 +83,7 @@
     /// Goes on answering while callers may still come, then waits for the last calls.
     pub async fn finish(self) -> EntryNode<Stopped> {
         let entry = &self.entry;
-        let grace = Duration::from_secs_f64(entry.settings.bounds.grace_s);
+        let grace = Duration::from_secs_f64(entry.tuning().bounds.grace_s);
         tokio::time::sleep_until(self.since + grace.mul_f64(ANSWERING_SHARE)).await;
         entry.phase.send_replace(Phase::Closing);
         let last = self.since + grace.mul_f64(LAST_SHARE);
--- a/crates/rosethread_entry/src/pace.rs
+++ b/crates/rosethread_entry/src/pace.rs
@@ -22,26 +22,32 @@
 /// latency, not refusals.
 pub(crate) struct Pace {
     bucket: Bucket,
-    rate: f64,
 }
 
 impl Pace {
     /// Returns the pace of one of a deployment's writers.
     pub(crate) fn new(entry: &Entry) -> Pace {
-        let platform = &entry.settings.platform;
-        let writers = TOPICS * f64::from(platform.partitions);
-        let rate = platform.writes_per_s * WRITE_SHARE / writers;
-        Pace { bucket: Bucket::new(burst(rate), entry.now()), rate }
+        Pace { bucket: Bucket::new(burst(rate(entry)), entry.now()) }
     }
 
     /// Waits until the next append may be made.
     pub(crate) async fn wait(&mut self, entry: &Entry) {
-        while let Err(wait) = self.bucket.take(entry.now(), self.rate, burst(self.rate), 1.0) {
-            sleep(wait).await;
+        loop {
+            let rate = rate(entry);
+            match self.bucket.take(entry.now(), rate, burst(rate), 1.0) {
+                Ok(()) => return,
+                Err(wait) => sleep(wait).await,
+            }
         }
     }
 }
 
+/// Returns one writer's part of the calls that the store takes in a second.
+fn rate(entry: &Entry) -> f64 {
+    let writers = TOPICS * f64::from(entry.settings.platform.partitions);
+    entry.tuning().writes_per_s * WRITE_SHARE / writers
+}
+
 fn burst(rate: f64) -> f64 {
     (rate * SAVED.as_secs_f64()).max(1.0)
 }
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -76,7 +76,47 @@
     pub keep_s: f64,
 }
 
+/// The settings that a running process takes over when its file changes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// See [`EntrySettings::processor`].
+    pub processor: f64,
+    /// See [`EntrySettings::policy`].
+    pub policy: PolicyName,
+    /// See [`PlatformSettings::writes_per_s`].
+    pub writes_per_s: f64,
+    /// See [`EntrySettings::bounds`].
+    pub bounds: Bounds,
+}
+
 impl EntrySettings {
+    /// Returns what may change while the process runs.
+    pub fn tuning(&self) -> Tuning {
+        Tuning {
+            processor: self.processor,
+            policy: self.policy,
+            writes_per_s: self.platform.writes_per_s,
+            bounds: self.bounds.clone(),
+        }
+    }
+
+    /// Returns the names of the settings that differ from `other`'s but need another start.
+    pub fn fixed_changes(&self, other: &EntrySettings) -> Vec<&'static str> {
+        let (platform, new) = (&self.platform, &other.platform);
+        let changes = [
+            ("node", self.node != other.node),
+            ("zone", self.zone != other.zone),
+            ("seeds", self.seeds != other.seeds),
+            ("addresses", self.addresses != other.addresses),
+            ("keys", self.keys != other.keys),
+            ("platform.address", platform.address != new.address),
+            ("platform.partitions", platform.partitions != new.partitions),
+            ("platform.retention_s", platform.retention_s != new.retention_s),
+            ("platform.record_bytes", platform.record_bytes != new.record_bytes),
+        ];
+        changes.into_iter().filter(|it| it.1).map(|it| it.0).collect()
+    }
+
     /// Parses and validates settings.
     pub fn parse(text: &str) -> Result<EntrySettings, Problems> {
         let settings: EntrySettings =
--- a/crates/rosethread_entry/tests/settings.rs
+++ b/crates/rosethread_entry/tests/settings.rs
@@ -59,3 +59,20 @@
     let settings = EntrySettings::parse(GOOD).unwrap();
     assert_eq!(settings.platform.partitions, 12);
 }
+
+fn check_fixed(part: &str, replacement: &str, expected: &[&str]) {
+    let old = EntrySettings::parse(GOOD).unwrap();
+    let new = EntrySettings::parse(&GOOD.replace(part, replacement)).unwrap();
+    assert_eq!(old.fixed_changes(&new), expected);
+    let is_tuned = old.tuning() != new.tuning();
+    assert_eq!(is_tuned, expected.is_empty() && part != replacement);
+}
+
+rosethread_cases::cases!(check_fixed {
+    the_same_settings_change_nothing: ("zone = \"a\"", "zone = \"a\"", &[]);
+    a_share_is_taken_over: ("processor = 0.25", "processor = 0.5", &[]);
+    a_rate_is_taken_over: ("writes_per_s = 800", "writes_per_s = 80", &[]);
+    another_zone_needs_a_start: ("zone = \"a\"", "zone = \"b\"", &["zone"]);
+    another_port_needs_a_start: ("10.1.0.1:8001", "10.1.0.1:8009", &["addresses"]);
+    other_partitions_need_a_start: ("partitions = 12", "partitions = 9", &["platform.partitions"]);
+});
