Other hosts' loads are added up once for many choices

Cause: for each candidate target a choice went through the reports of all hosts, and each question to an owner ranked all hosts. Ruled out: memory, connections and wake-ups (level from 100 on). Change: the sums over all hosts are kept for 50 ms; the ranking is worked out only when the last owner does not decide. An error text says that accounts without a log cannot be recorded, where it said "another owner". Behaviour is unchanged but for sums that may be 50 ms older.

--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -65,13 +65,15 @@
     let draw = entry.random.bits() as usize >> 1;
     let turn = draw % usable.len();
     usable.rotate_left(turn);
+    let elsewhere = entry.running_elsewhere();
     let loads = entry.loads.lock();
     let fresh = Known::default();
     let candidates: Vec<Candidate> = usable
         .iter()
         .map(|it| {
             let known = loads.get(&it.name).unwrap_or(&fresh);
-            candidate(entry, it, known, &view, call.prompt.as_ref(), home, connections)
+            let others = elsewhere.get(&it.name).copied().unwrap_or(0);
+            candidate(entry, it, known, others, call.prompt.as_ref(), home, connections)
         })
         .collect();
     drop(loads);
@@ -96,14 +98,13 @@
     entry: &Entry,
     target: &Target,
     known: &Known,
-    view: &View,
+    elsewhere: u32,
     prompt: Option<&PromptShape>,
     home: Option<&TargetName>,
     connections: usize,
 ) -> Candidate {
     let now = entry.now();
     let own = known.health.outstanding;
-    let others = running_elsewhere(view, entry, &target.name);
     let cached = match prompt {
         Some(prompt) if home == Some(&target.name) => prompt.tokens(),
         Some(prompt) => known.cached(&prompt.parts, now),
@@ -112,7 +113,7 @@
     let is_near = target.zone == entry.settings.zone;
     Candidate {
         slots: target.slots,
-        running: own + others,
+        running: own + elsewhere,
         waiting: 0,
         cached,
         pressure: known.health.pressure,
@@ -124,13 +125,6 @@
     }
 }
 
-/// Returns what the other hosts say they have under way at a target.
-fn running_elsewhere(view: &View, entry: &Entry, target: &TargetName) -> u32 {
-    let others = view.live().filter(|it| it.node != entry.settings.node);
-    let loads = others.flat_map(|it| it.summary.targets.iter());
-    loads.filter(|it| it.target == *target).map(|it| u32::from(it.running)).sum()
-}
-
 fn strategy(policy: PolicyName) -> Strategy {
     match policy {
         PolicyName::Adaptive => Strategy::Adaptive,
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     history::Turns,
-    load::Loads,
+    load::{Elsewhere, Loads},
     metrics::Metrics,
     peers::PeerLink,
     ports::{RoutesSource, TargetsSource, Upstream},
@@ -99,6 +99,7 @@
     pub(crate) view: watch::Sender<Arc<View>>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) loads: Loads,
+    elsewhere: Mutex<Elsewhere>,
     pub(crate) shards: Shards,
     pub(crate) turns: Turns,
     /// Calls under way here.
@@ -120,6 +121,7 @@
             view: watch::Sender::new(Arc::default()),
             phase: watch::Sender::new(Phase::Serving),
             loads: Loads::default(),
+            elsewhere: Mutex::default(),
             shards: Shards::default(),
             turns: Turns::default(),
             calls: AtomicU32::new(0),
@@ -210,6 +212,12 @@
         self.view.borrow().clone()
     }
 
+    /// Returns the requests that other hosts have under way, by target.
+    pub(crate) fn running_elsewhere(&self) -> Arc<BTreeMap<TargetName, u32>> {
+        let mut elsewhere = self.elsewhere.lock().expect("no holder of the sums panics");
+        elsewhere.count(&self.view(), &self.settings.node, self.now())
+    }
+
     /// Tells whether the store has answered lately.
     pub(crate) fn has_log(&self) -> bool {
         self.log_seen.load(Ordering::Relaxed) != 0 && self.log_age() < LOG_AGE
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -72,10 +72,19 @@
 async fn ask_once(entry: &Arc<Entry>, shard: u32, ask: &Ask) -> Result<Verdict, String> {
     let last = entry.shards.last_owner(shard).filter(|it| entry.view().is_running(it));
     let mut nodes: VecDeque<NodeName> = last.into_iter().collect();
-    nodes.extend(candidates_for(entry, shard));
+    // The order of the others is worked out from all hosts, so only when it is needed.
+    let mut others = Some(|| candidates_for(entry, shard));
     let mut asked = BTreeSet::new();
     let mut reasons = Vec::new();
-    while let Some(owner) = nodes.pop_front() {
+    loop {
+        if nodes.is_empty()
+            && let Some(others) = others.take()
+        {
+            nodes.extend(others());
+        }
+        let Some(owner) = nodes.pop_front() else {
+            break;
+        };
         if !asked.insert(owner.clone()) {
             continue;
         }
@@ -154,7 +163,8 @@
             shard.ledger().recorded(&ask.program, tokens);
             Ok(())
         }
-        Ok(_) => Err("the shard has another owner".to_owned()),
+        Ok(Ok(false)) => Err("the shard has another owner".to_owned()),
+        Ok(Err(_)) => Err("the accounts were handed on without the log, or are lost".to_owned()),
         Err(_) => Err("the log does not take records".to_owned()),
     }
 }
--- a/crates/rosethread_entry/src/load.rs
+++ b/crates/rosethread_entry/src/load.rs
@@ -6,14 +6,17 @@
     time::Duration,
 };
 
-use rosethread_membership::TargetLoad;
+use rosethread_membership::{TargetLoad, View};
 use rosethread_policy::Health;
-use rosethread_types::{PromptPart, TargetName};
+use rosethread_types::{NodeName, PromptPart, TargetName};
 use tokio::time::Instant;
 
 /// How long a prompt's part is taken to stay in an engine's cache after its last use.
 const PART_AGE: Duration = Duration::from_secs(20);
 
+/// How old the sums of other hosts' loads may be; their reports are older than that.
+const COUNT_PERIOD: Duration = Duration::from_millis(50);
+
 /// The most parts remembered for a target; the oldest give way.
 const MAX_PARTS: usize = 256;
 
@@ -96,6 +99,38 @@
     }
 }
 
+/// What all other hosts have under way at each target.
+///
+/// Each choice of a target needs it for all candidates, and it is spread over the reports of all
+/// hosts, so it is added up once for many choices.
+#[derive(Default)]
+pub(crate) struct Elsewhere {
+    counted: Option<Duration>,
+    running: Arc<BTreeMap<TargetName, u32>>,
+}
+
+impl Elsewhere {
+    /// Returns the sums, added up anew from `view` if they are older than [`COUNT_PERIOD`].
+    pub(crate) fn count(
+        &mut self,
+        view: &View,
+        own: &NodeName,
+        now: Duration,
+    ) -> Arc<BTreeMap<TargetName, u32>> {
+        if self.counted.is_none_or(|it| it + COUNT_PERIOD <= now) {
+            let mut running = BTreeMap::new();
+            for node in view.live().filter(|it| it.node != *own) {
+                for load in &node.summary.targets {
+                    *running.entry(load.target.clone()).or_default() += u32::from(load.running);
+                }
+            }
+            self.running = Arc::new(running);
+            self.counted = Some(now);
+        }
+        self.running.clone()
+    }
+}
+
 /// One request under way at a target.
 pub(crate) struct Underway {
     loads: Loads,
