Two different targets are drawn, independently of the order of candidates

Cause: found by a test of load between hosts: of six calls three went to the target that another host had filled. The lighter of two was drawn with replacement, so of two targets a quarter of the draws is the same one twice; and the candidates were rotated by the same random number that drew, so with an even number of targets the first draw fell on every second one only. Ruled out: that loads of other hosts do not arrive (they are in the view; with the draw mended the test passes, with the loads left out it still fails). Pattern: plain calls and new programs on a service of few targets, one of which others have filled. Change: the second target is another one; rotation and draw take numbers of their own. Tests: equal targets get equal shares (2, 5, 12 targets, within 15%); of two the lighter is always found; what_other_hosts_have_under_way_counts over real sockets, which failed before (3 of 6).

--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -62,8 +62,7 @@
         return None;
     }
     // Equal costs go to the first, which must not be the same target at every host.
-    let draw = entry.random.bits() as usize >> 1;
-    let turn = draw % usable.len();
+    let turn = entry.random.bits() as usize % usable.len();
     usable.rotate_left(turn);
     let elsewhere = entry.running_elsewhere();
     let loads = entry.loads.lock();
@@ -80,7 +79,8 @@
     let request = Request {
         prompt: call.prompt.as_ref().map_or(0, PromptShape::tokens),
         home: home.and_then(|home| usable.iter().position(|it| it.name == *home)),
-        turn: draw,
+        // Independent of the rotation, which would favour some targets otherwise.
+        turn: entry.random.bits() as usize,
     };
     let weights = Weights { latency: 1.0, waste: WASTE_WEIGHT };
     let placement = place(strategy(entry.tuning().policy), &candidates, request, weights)?;
--- a/crates/rosethread_policy/src/place.rs
+++ b/crates/rosethread_policy/src/place.rs
@@ -112,7 +112,10 @@
     if count == 0 {
         return None;
     }
-    let draw = [usable[random % count], usable[random / count % count]];
+    let first = random % count;
+    // Another one, unless there is none: the same target twice is no choice.
+    let second = (first + 1 + random / count % count.saturating_sub(1).max(1)) % count;
+    let draw = [usable[first], usable[second]];
     let work = |it: &Candidate| {
         f64::from(it.running + it.waiting) / f64::from(it.slots.max(1)) + it.distance_s
     };
--- a/crates/rosethread_policy/tests/decisions.rs
+++ b/crates/rosethread_policy/tests/decisions.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use proptest::{prelude::*, strategy::Strategy as _};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 use rosethread_policy::{
     Breaker, BreakerConfig, Bucket, Candidate, Demand, Forecast, HostLoad, Load, PauseChoice,
     PauseCost, Request, RetryBudget, Shares, Strategy, Waiting, Weights, backoff, choose_pause,
@@ -169,6 +171,36 @@
     assert_eq!(choose(2_000), 1);
 }
 
+/// Equal targets get equal shares, whether their number is even or odd.
+fn check_shares(count: usize) {
+    let candidates = vec![Candidate { slots: 4, ..Candidate::default() }; count];
+    let mut random = Pcg64::seed_from_u64(3);
+    let mut got = vec![0_u32; count];
+    for _ in 0..count * 1_000 {
+        let request = Request { turn: random.random_range(0..usize::MAX), ..Request::default() };
+        let placement = place(Strategy::Adaptive, &candidates, request, Weights::default());
+        got[placement.unwrap().index] += 1;
+    }
+    assert!(got.iter().all(|it| (850..1_150).contains(it)), "{got:?}");
+}
+
+rosethread_cases::cases!(check_shares {
+    two_equal_targets: (2);
+    five_equal_targets: (5);
+    twelve_equal_targets: (12);
+});
+
+#[test]
+fn of_two_targets_the_lighter_is_always_found() {
+    let busy = Candidate { slots: 4, running: 3, ..Candidate::default() };
+    let idle = Candidate { running: 0, ..busy };
+    for turn in 0..100 {
+        let request = Request { turn, ..Request::default() };
+        let chosen = place(Strategy::Adaptive, &[busy, idle], request, Weights::default());
+        assert_eq!(chosen.unwrap().index, 1, "turn {turn}");
+    }
+}
+
 fn check_judge(deadline_s: u64, is_underway: bool, wait_s: f64, is_accepted: bool) {
     let demand = Demand { deadline: Duration::from_secs(deadline_s), is_underway };
     let forecast = Forecast { wait_s, service_s: 1.0 };
