In a crowd new programs are told to come later

Pattern: many new programs at once, beyond what the slots of a service hold. Change: a program's first turn is refused at once, with a second to come back, where all hosts together have 0.85 to 1.05 of the service's slots in use, by a share that rises between the two. "Under way" now means that a turn has handed out tokens, so that a program that was refused does not count as such.

--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     call::{Call, ProgramTag, Tries},
+    choose::is_crowded_now,
     entry::Entry,
     grants, history,
     ledger::{Ask, Settlement, Verdict},
@@ -29,6 +30,9 @@
 /// What callers are told to wait where another host can serve them at once.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(20);
 
+/// What the callers of new programs are told to wait while programs under way take all slots.
+const CROWD_RETRY: Duration = Duration::from_millis(1_000);
+
 /// The longest time for a call without a deadline of its own.
 const LONGEST: Duration = Duration::from_secs(600);
 
@@ -77,6 +81,11 @@
         let shard = call.program.as_ref().map_or(0, |it| shard_of(entry, &it.program));
         let (body, is_root) = whole_body(entry, &call, &route, shard, deadline).await?;
         let admitted = admit(entry, &call, &route, shard, deadline).await?;
+        let is_new = admitted.grant.is_some() && !admitted.underway && call.previous.is_none();
+        if is_new && is_crowded_now(entry, &service) {
+            let detail = format!("the slots of {service} are taken by programs under way");
+            return Err(Refusal::not_run(Reason::Overloaded, detail).retry_after(CROWD_RETRY));
+        }
         Ok(Job {
             entry: entry.clone(),
             rank: rank(&route, admitted.underway),
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -2,7 +2,7 @@
 
 use rosethread_config::PolicyName;
 use rosethread_membership::View;
-use rosethread_policy::{Candidate, Request, Strategy, Weights, place};
+use rosethread_policy::{Candidate, Request, Strategy, Weights, is_crowded, place};
 use rosethread_types::{ServiceName, TargetName};
 
 use crate::{
@@ -88,6 +88,21 @@
     Some(Chosen { target: usable[placement.index].clone(), connections, running })
 }
 
+/// Tells whether new programs of a service should come later, by what all hosts have under way.
+pub(crate) fn is_crowded_now(entry: &Entry, service: &ServiceName) -> bool {
+    let targets = entry.targets();
+    let usable = |it: &&Target| it.service == *service && it.status == TargetStatus::Ready;
+    let elsewhere = entry.running_elsewhere();
+    let loads = entry.loads.lock();
+    let (mut running, mut slots) = (0, 0);
+    for target in targets.values().filter(usable) {
+        let own = loads.get(&target.name).map_or(0, |it| it.health.outstanding);
+        running += own + elsewhere.get(&target.name).copied().unwrap_or(0);
+        slots += target.slots;
+    }
+    is_crowded(running, slots, entry.random.fraction())
+}
+
 /// Returns this host's part of the connections that a target accepts.
 fn connections(service: Option<&Service>, view: &View) -> usize {
     let all = service.map_or(f64::MAX, |it| f64::from(it.connections)) * CONNECTION_SHARE;
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -48,7 +48,7 @@
     Granted {
         /// The target that most likely caches the line's prompt.
         home: Option<TargetName>,
-        /// Whether the program had a turn before.
+        /// Whether a turn of the program has handed out tokens.
         underway: bool,
     },
     /// A ceiling of this many tokens has to be recorded first.
@@ -134,7 +134,7 @@
     is_spent_recorded: bool,
     homes: BTreeMap<SessionLabel, TargetName>,
     last_home: Option<TargetName>,
-    /// Whether a turn was granted before.
+    /// Whether a turn has handed out tokens.
     is_underway: bool,
     used: Duration,
 }
@@ -235,7 +235,6 @@
             return Verdict::Record(needed);
         }
         account.open.insert(ask.request.clone(), ask.tokens);
-        account.is_underway = true;
         Verdict::Granted { home, underway }
     }
 
@@ -297,6 +296,7 @@
             return;
         }
         account.spent += settlement.used;
+        account.is_underway |= settlement.used != 0;
         if let Some(target) = &settlement.target {
             if account.homes.len() < MAX_SESSIONS {
                 account.homes.insert(settlement.session.clone(), target.clone());
--- a/crates/rosethread_policy/src/admission.rs
+++ b/crates/rosethread_policy/src/admission.rs
@@ -44,3 +44,20 @@
     let excess = Duration::try_from_secs_f64(excess_s).unwrap_or(MAX_RETRY);
     Err(excess.clamp(MIN_RETRY, MAX_RETRY))
 }
+
+/// The share of a service's slots in use from which some new programs are told to come later.
+const CROWDED_FROM: f64 = 0.85;
+
+/// The share from which all are: the slots are taken by programs under way.
+const CROWDED_TO: f64 = 1.05;
+
+/// Tells whether a new program should come later, where `running` calls use a service's `slots`.
+///
+/// A program that is begun in a crowd finishes late, and delays all that are under way; refused at
+/// once it may come when they have ended. The share of new programs that is refused rises with the
+/// load, since the loads that nodes know of each other are old; `draw` is a random number of at
+/// least 0 and below 1.
+pub fn is_crowded(running: u32, slots: u32, draw: f64) -> bool {
+    let load = f64::from(running) / f64::from(slots.max(1));
+    draw < (load - CROWDED_FROM) / (CROWDED_TO - CROWDED_FROM)
+}
--- a/crates/rosethread_policy/src/lib.rs
+++ b/crates/rosethread_policy/src/lib.rs
@@ -16,7 +16,7 @@
 mod retry;
 mod spread;
 
-pub use admission::{Demand, Forecast, judge};
+pub use admission::{Demand, Forecast, is_crowded, judge};
 pub use breaker::{Breaker, BreakerConfig};
 pub use health::Health;
 pub use moves::{Load, Move, plan_emptying};
--- a/crates/rosethread_policy/tests/decisions.rs
+++ b/crates/rosethread_policy/tests/decisions.rs
@@ -8,7 +8,7 @@
 use rosethread_policy::{
     Breaker, BreakerConfig, Bucket, Candidate, Demand, Forecast, HostLoad, Load, PauseChoice,
     PauseCost, Request, RetryBudget, Shares, Strategy, Waiting, Weights, backoff, choose_pause,
-    judge, local_share, order_hosts, pick, place, plan_emptying,
+    is_crowded, judge, local_share, order_hosts, pick, place, plan_emptying,
 };
 use rosethread_types::MemberName;
 
@@ -171,6 +171,19 @@
     assert_eq!(choose(2_000), 1);
 }
 
+fn check_crowd(running: u32, slots: u32, refused: std::ops::RangeInclusive<usize>) {
+    let draws = (0..1_000).map(|it| f64::from(it) / 1_000.0);
+    let count = draws.filter(|it| is_crowded(running, slots, *it)).count();
+    assert!(refused.contains(&count), "{count} of 1000");
+}
+
+rosethread_cases::cases!(check_crowd {
+    a_usual_load_refuses_no_new_program: (80, 100, 0..=0);
+    a_full_service_refuses_most: (100, 100, 700..=800);
+    a_burst_refuses_all_new_programs: (140, 100, 1_000..=1_000);
+    a_service_without_slots_refuses_none: (0, 0, 0..=0);
+});
+
 /// Equal targets get equal shares, whether their number is even or odd.
 fn check_shares(count: usize) {
     let candidates = vec![Candidate { slots: 4, ..Candidate::default() }; count];
