--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     call::{Call, ProgramTag, Tries},
-    choose::is_crowded_now,
+    choose::crowd,
     entry::Entry,
     grants, history,
     ledger::{Ask, Settlement, Verdict},
@@ -82,8 +82,9 @@
         let (body, is_root) = whole_body(entry, &call, &route, shard, deadline).await?;
         let admitted = admit(entry, &call, &route, shard, deadline).await?;
         let is_new = admitted.grant.is_some() && !admitted.underway && call.previous.is_none();
-        if is_new && is_crowded_now(entry, &service) {
-            let detail = format!("the slots of {service} are taken by programs under way");
+        if let Some(crowd) = is_new.then(|| crowd(entry, &service)).flatten() {
+            let (running, slots) = (crowd.running, crowd.slots);
+            let detail = format!("{running} calls use the {slots} slots of {service}");
             return Err(Refusal::not_run(Reason::Overloaded, detail).retry_after(CROWD_RETRY));
         }
         Ok(Job {
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -88,8 +88,14 @@
     Some(Chosen { target: usable[placement.index].clone(), connections, running })
 }
 
-/// Tells whether new programs of a service should come later, by what all hosts have under way.
-pub(crate) fn is_crowded_now(entry: &Entry, service: &ServiceName) -> bool {
+/// What all hosts have under way at a service.
+pub(crate) struct Crowd {
+    pub(crate) running: u32,
+    pub(crate) slots: u32,
+}
+
+/// Returns what is under way at a service if a new program should come later for it.
+pub(crate) fn crowd(entry: &Entry, service: &ServiceName) -> Option<Crowd> {
     let targets = entry.targets();
     let usable = |it: &&Target| it.service == *service && it.status == TargetStatus::Ready;
     let elsewhere = entry.running_elsewhere();
@@ -100,7 +106,7 @@
         running += own + elsewhere.get(&target.name).copied().unwrap_or(0);
         slots += target.slots;
     }
-    is_crowded(running, slots, entry.random.fraction())
+    is_crowded(running, slots, entry.random.fraction()).then_some(Crowd { running, slots })
 }
 
 /// Returns this host's part of the connections that a target accepts.
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -72,15 +72,13 @@
 async fn ask_once(entry: &Arc<Entry>, shard: u32, ask: &Ask) -> Result<Verdict, String> {
     let last = entry.shards.last_owner(shard).filter(|it| entry.view().is_running(it));
     let mut nodes: VecDeque<NodeName> = last.into_iter().collect();
-    // The order of the others is worked out from all hosts, so only when it is needed.
-    let mut others = Some(|| candidates_for(entry, shard));
+    let mut has_candidates = false;
     let mut asked = BTreeSet::new();
     let mut reasons = Vec::new();
     loop {
-        if nodes.is_empty()
-            && let Some(others) = others.take()
-        {
-            nodes.extend(others());
+        // They are worked out from all hosts, so only when the last owner does not decide.
+        if nodes.is_empty() && !std::mem::replace(&mut has_candidates, true) {
+            nodes.extend(candidates_for(entry, shard));
         }
         let Some(owner) = nodes.pop_front() else {
             break;
