--- a/crates/rosethread_cases/src/lib.rs
+++ b/crates/rosethread_cases/src/lib.rs
@@ -1,7 +1,11 @@
-//! A macro that turns a list of named cases into tests.
+//! What the tests of several crates share: named cases, and state machines without order.
 //!
 //! One function checks, and each case is a test with a name of its own, so that a failure says
-//! which case it was. All other crates use it in their tests only.
+//! which case it was. All other crates use this in their tests only.
+
+mod any_order;
+
+pub use any_order::{AnyOrder, Steps};
 
 /// Declares one test for each named case; every case calls the given function with its arguments.
 ///
--- a/crates/rosethread_config/tests/document.rs
+++ b/crates/rosethread_config/tests/document.rs
@@ -1,7 +1,8 @@
 //! Documents: validation by field, publication races, and what never reverts.
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
+use rosethread_cases::{AnyOrder, Steps};
 use rosethread_config::{ConfigFold, Document, Publication, Void, diff, hash_key, key_matches};
 use rosethread_types::Revision;
 
@@ -151,19 +152,10 @@
     Restart { node: usize, is_truncated: bool },
 }
 
-/// No state is needed to generate steps: any order may come.
-#[derive(Clone, Debug)]
-struct AnyOrder;
-
-impl ReferenceStateMachine for AnyOrder {
-    type State = ();
-    type Transition = Step;
+impl Steps for Stream {
+    type Step = Step;
 
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions(_state: &()) -> BoxedStrategy<Step> {
+    fn steps() -> BoxedStrategy<Step> {
         let node = || 0..NODES;
         let publish = (0_usize..3, prop::bool::weighted(0.8));
         prop_oneof![
@@ -176,8 +168,6 @@
         ]
         .boxed()
     }
-
-    fn apply(_state: (), _step: &Step) {}
 }
 
 /// The nodes that read.
@@ -255,7 +245,7 @@
 
 impl StateMachineTest for Stream {
     type SystemUnderTest = Stream;
-    type Reference = AnyOrder;
+    type Reference = AnyOrder<Stream>;
 
     fn init_test(_state: &()) -> Stream {
         Stream::default()
--- a/crates/rosethread_entry/tests/ledger.rs
+++ b/crates/rosethread_entry/tests/ledger.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
+use rosethread_cases::{AnyOrder, Steps};
 use rosethread_entry::{Ask, Ledger, LedgerRecord, Settlement, Verdict};
 use rosethread_types::Incarnation;
 
@@ -35,19 +36,10 @@
     HandOn,
 }
 
-/// No state is needed to generate steps: any order may come.
-#[derive(Clone, Debug)]
-struct AnyOrder;
-
-impl ReferenceStateMachine for AnyOrder {
-    type State = ();
-    type Transition = Step;
+impl Steps for Budgets {
+    type Step = Step;
 
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions(_state: &()) -> BoxedStrategy<Step> {
+    fn steps() -> BoxedStrategy<Step> {
         prop_oneof![
             10 => (0_usize..3, 0_usize..BUDGETS.len())
                 .prop_map(|(owner, program)| Step::Ask { owner, program }),
@@ -61,8 +53,6 @@
         ]
         .boxed()
     }
-
-    fn apply(_state: (), _transition: &Step) {}
 }
 
 /// One owner of the shard and its records that have not reached the log.
@@ -211,7 +201,7 @@
 
 impl StateMachineTest for Budgets {
     type SystemUnderTest = World;
-    type Reference = AnyOrder;
+    type Reference = AnyOrder<Budgets>;
 
     fn init_test(_state: &()) -> World {
         let mut world = World::default();
--- a/crates/rosethread_journal/tests/fold.rs
+++ b/crates/rosethread_journal/tests/fold.rs
@@ -4,7 +4,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
+use rosethread_cases::{AnyOrder, Steps};
 use rosethread_journal::{Batch, Fold, Record, Verdict};
 use rosethread_program::{Budget, Event, Grant};
 use rosethread_types::{Epoch, Incarnation, NodeName, ProgramId};
@@ -40,19 +41,10 @@
     is_repeated: bool,
 }
 
-/// No state is needed to generate writes: any order may come.
-#[derive(Clone, Debug)]
-struct AnyOrder;
+impl Steps for Folded {
+    type Step = Write;
 
-impl ReferenceStateMachine for AnyOrder {
-    type State = ();
-    type Transition = Write;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions(_state: &()) -> BoxedStrategy<Write> {
+    fn steps() -> BoxedStrategy<Write> {
         let write = (0_u8..3, 0_u8..2, any::<bool>(), 0_usize..3, any::<bool>());
         let write = write.prop_map(|(node, program, is_claim, behind, is_repeated)| Write {
             node,
@@ -63,8 +55,6 @@
         });
         write.boxed()
     }
-
-    fn apply(_state: (), _write: &Write) {}
 }
 
 #[derive(Default)]
@@ -150,7 +140,7 @@
 
 impl StateMachineTest for Folded {
     type SystemUnderTest = Folded;
-    type Reference = AnyOrder;
+    type Reference = AnyOrder<Folded>;
 
     fn init_test(_state: &()) -> Folded {
         let mut folded = Folded::default();
--- a/crates/rosethread_membership/tests/detector.rs
+++ b/crates/rosethread_membership/tests/detector.rs
@@ -3,9 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use rosethread_cases::{AnyOrder, Steps};
 use rosethread_membership::{
     Contact, Detector, DetectorConfig, NodeState, Outgoing, Status, View, rank, target_owner,
 };
@@ -231,19 +232,10 @@
     Settle,
 }
 
-/// No state is needed to generate steps: any order may come.
-#[derive(Clone, Debug)]
-struct AnyOrder;
-
-impl ReferenceStateMachine for AnyOrder {
-    type State = ();
-    type Transition = Step;
+impl Steps for Group {
+    type Step = Step;
 
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions(_state: &()) -> BoxedStrategy<Step> {
+    fn steps() -> BoxedStrategy<Step> {
         let node = || 0..GROUP;
         prop_oneof![
             4 => (1_u64..12).prop_map(|seconds| Step::Run { seconds }),
@@ -256,8 +248,6 @@
         ]
         .boxed()
     }
-
-    fn apply(_state: (), _step: &Step) {}
 }
 
 /// The names in a group.
@@ -282,7 +272,7 @@
 
 impl StateMachineTest for Group {
     type SystemUnderTest = Group;
-    type Reference = AnyOrder;
+    type Reference = AnyOrder<Group>;
 
     fn init_test(_state: &()) -> Group {
         Group { net: Net::new(GROUP, 0.0), starts: [1; GROUP], is_settled: false }
--- a/crates/rosethread_program/tests/program.rs
+++ b/crates/rosethread_program/tests/program.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::{StateMachineTest, prop_state_machine};
+use rosethread_cases::{AnyOrder, Steps};
 use rosethread_program::{
     Admission, Budget, CallHead, Event, Exchange, Finish, Grant, Program, Recovery, Shortage, Usage,
 };
@@ -42,19 +43,10 @@
     Crash,
 }
 
-/// No state is needed to generate steps: any order may come.
-#[derive(Clone, Debug)]
-struct AnyOrder;
-
-impl ReferenceStateMachine for AnyOrder {
-    type State = ();
-    type Transition = Step;
+impl Steps for Machine {
+    type Step = Step;
 
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions(_state: &()) -> BoxedStrategy<Step> {
+    fn steps() -> BoxedStrategy<Step> {
         let outcome =
             prop_oneof![Just(Outcome::NotRun), Just(Outcome::Unknown), Just(Outcome::Failed)];
         let admit = (-2..2, -1..2, 1_u64..120, any::<bool>());
@@ -73,8 +65,6 @@
         ]
         .boxed()
     }
-
-    fn apply(_state: (), _step: &Step) {}
 }
 
 /// What must be true, as plain lists.
@@ -200,7 +190,7 @@
 
 impl StateMachineTest for Machine {
     type SystemUnderTest = Oracle;
-    type Reference = AnyOrder;
+    type Reference = AnyOrder<Machine>;
 
     fn init_test(_state: &()) -> Oracle {
         Oracle::new()
