A target that left while the store turned only this host away gets no more work

The store turned front-opo-c-1 away from 16.5 to 23.5 s and answered all others; the target's entry was removed at 24.3 s, and the host, which took its own silence for an outage, kept the lapsed entry for 2.2 s (gone at 26.76 s in its log).

Ruled out: a late read of the registry (it was read at 24.66 s), entries put back by a peer's listing.

Change: a lapsed entry is kept only after a silence of two reports or more (the report period is a new setting, platform.report_ms), and an answer of the store that another host tells of ends the silence. What another host's listing lacks is removed at once, as the comment there always said. A host that the store turns away asks another one after 1.0 s, not 2.0.

Tests: three cases of tests/registry.rs; the one for short silences was seen to fail without the check.

--- a/crates/rosethread/tests/reload.rs
+++ b/crates/rosethread/tests/reload.rs
@@ -92,6 +92,7 @@
 writes_per_s = 400
 retention_s = 300
 record_bytes = 4096
+report_ms = 500
 [bounds]
 grace_s = 3
 keep_s = 2
--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -21,7 +21,7 @@
 const PERIOD: Duration = Duration::from_millis(700);
 
 /// The age of this host's knowledge from which it asks another host for its own.
-const OLD: Duration = Duration::from_millis(2_000);
+const OLD: Duration = Duration::from_millis(1_000);
 
 /// Takes changes of the registered targets until the process ends.
 pub(super) async fn follow(entry: Arc<Entry>) {
@@ -137,9 +137,8 @@
     let gone;
     {
         let mut registry = entry.registry.lock().expect("no holder of the registry panics");
-        // The peer's store answers, so what it does not list is gone, not lapsed.
-        registry.set_away(false, now);
-        gone = registry.retain(targets.iter().map(|it| &it.name), now);
+        registry.see_elsewhere(now.saturating_sub(age));
+        gone = registry.retain_peers(targets.iter().map(|it| &it.name));
         for target in targets {
             registry.put(target);
         }
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -114,7 +114,7 @@
             timer: Timer::start(&parts.tasks),
             metrics: Metrics::new(),
             routes: watch::Sender::new(Arc::default()),
-            registry: Mutex::default(),
+            registry: Mutex::new(Registry::new(parts.settings.report_period())),
             targets: watch::Sender::new(Arc::default()),
             targets_read: AtomicU64::new(0),
             log_seen: AtomicU64::new(0),
--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -1,7 +1,10 @@
 //! Which targets run, as they register themselves in the platform's store.
 //!
 //! An entry lapses when its target falls silent, but also when the store is away and the target
-//! cannot write. So an entry that lapses just after the store has come back is kept for a while.
+//! cannot write. So an entry that lapses just after the store has come back is kept for a while. A
+//! silence of the store too short for a target to miss its reports makes no entry lapse, nor does a
+//! store that turns only this host away: what is missing then has left, and using it any longer
+//! would send work to a target that stops.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -57,16 +60,29 @@
     lapsed: Option<Duration>,
 }
 
+/// Reports that a target misses, at the least, before its entry lapses: it may have made the last
+/// one just before the store went away, and lapses after three times without any.
+const MISSED_REPORTS: u32 = 2;
+
 /// The targets that are known; time is the duration since the process's start.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: BTreeMap<TargetName, Entry>,
+    /// The shortest silence of the store after which entries may be missing because of it.
+    silence: Duration,
+    /// When the store answered last, this host or another one.
+    answered: Option<Duration>,
     /// When the store answered again after it had been away.
     returned: Option<Duration>,
     is_away: bool,
 }
 
 impl Registry {
+    /// Returns an empty registry for targets that report once each `period`.
+    pub fn new(period: Duration) -> Registry {
+        Registry { silence: period * MISSED_REPORTS, ..Registry::default() }
+    }
+
     /// Takes an entry in, unless a newer one is known. Returns whether anything changed but counts.
     pub fn put(&mut self, target: Target) -> bool {
         match self.entries.get_mut(&target.name) {
@@ -100,10 +116,20 @@
 
     /// Takes note of whether the store answers.
     pub fn set_away(&mut self, is_away: bool, now: Duration) {
-        if self.is_away && !is_away {
+        let is_return = self.is_away && !is_away;
+        let is_long = self.answered.is_none_or(|it| it + self.silence <= now);
+        if is_return && is_long {
             self.returned = Some(now);
         }
         self.is_away = is_away;
+        if !is_away {
+            self.answered = Some(now);
+        }
+    }
+
+    /// Takes note that the store answered another host at `time`.
+    pub fn see_elsewhere(&mut self, time: Duration) {
+        self.answered = self.answered.max(Some(time));
     }
 
     /// Removes the marked targets whose time to come back is over, and returns their names.
@@ -130,6 +156,20 @@
         missing.into_iter().filter(|it| self.remove(it, now)).collect()
     }
 
+    /// Removes all targets that another host's listing lacks, and returns their names.
+    ///
+    /// The store answers that host, so what it does not list is gone and has not lapsed.
+    pub fn retain_peers<'a, I>(&mut self, listed: I) -> Vec<TargetName>
+    where
+        I: Iterator<Item = &'a TargetName>,
+    {
+        let listed: std::collections::BTreeSet<&TargetName> = listed.collect();
+        let gone: Vec<TargetName> =
+            self.entries.keys().filter(|it| !listed.contains(it)).cloned().collect();
+        self.entries.retain(|name, _| !gone.contains(name));
+        gone
+    }
+
     /// Returns the targets by name.
     pub fn targets(&self) -> BTreeMap<TargetName, Target> {
         self.entries.iter().map(|(name, it)| (name.clone(), it.target.clone())).collect()
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -64,6 +64,8 @@
     pub retention_s: u64,
     /// The largest record, in bytes.
     pub record_bytes: usize,
+    /// The time between two reports of a target to the registry, in milliseconds.
+    pub report_ms: u64,
 }
 
 /// Times that the platform's operators have agreed on with their users.
@@ -113,6 +115,7 @@
             ("platform.partitions", platform.partitions != new.partitions),
             ("platform.retention_s", platform.retention_s != new.retention_s),
             ("platform.record_bytes", platform.record_bytes != new.record_bytes),
+            ("platform.report_ms", platform.report_ms != new.report_ms),
         ];
         changes.into_iter().filter(|it| it.1).map(|it| it.0).collect()
     }
@@ -159,6 +162,9 @@
         problems.require(0 < retention, "platform.retention_s", retention, "must not be 0");
         let record = self.platform.record_bytes;
         problems.require(1_024 <= record, "platform.record_bytes", record, "must be 1024 or more");
+        let report = self.platform.report_ms;
+        let rule = "must be from 1 to 60000";
+        problems.require((1..=60_000).contains(&report), "platform.report_ms", report, rule);
         let grace = self.bounds.grace_s;
         let rule = "must be from 1 to 3600";
         problems.require((1.0..=3_600.0).contains(&grace), "bounds.grace_s", grace, rule);
@@ -171,6 +177,11 @@
         problems.into_result(())
     }
 
+    /// Returns the time between two reports of a target to the registry.
+    pub fn report_period(&self) -> Duration {
+        Duration::from_millis(self.platform.report_ms)
+    }
+
     /// Returns how long the store keeps records.
     pub fn retention(&self) -> Duration {
         Duration::from_secs(self.platform.retention_s)
--- a/crates/rosethread_entry/tests/registry.rs
+++ b/crates/rosethread_entry/tests/registry.rs
@@ -33,13 +33,20 @@
     Away(u64),
     Back(u64),
     Expire(u64),
+    /// A listing of another host that lacks the target.
+    Peer,
+    /// The store answers another host.
+    Elsewhere(u64),
 }
 
-use Step::{Away, Back, Expire, Put, Remove};
+use Step::{Away, Back, Elsewhere, Expire, Peer, Put, Remove};
+
+/// The time between two reports of a target.
+const BEAT: Duration = Duration::from_millis(500);
 
 /// Applies the steps and compares the target's start and version, if it is still used.
 fn check(steps: Vec<Step>, expected: Option<(u64, u64)>) {
-    let mut registry = Registry::default();
+    let mut registry = Registry::new(BEAT);
     for step in steps {
         match step {
             Put(target) => drop(registry.put(target)),
@@ -47,6 +54,8 @@
             Away(ms) => registry.set_away(true, at(ms)),
             Back(ms) => registry.set_away(false, at(ms)),
             Expire(ms) => drop(registry.expire(at(ms))),
+            Elsewhere(ms) => registry.see_elsewhere(at(ms)),
+            Peer => drop(registry.retain_peers([].iter())),
         }
     }
     let found = registry.targets().get(&name()).map(|it| (it.start.0, it.version));
@@ -77,6 +86,16 @@
         ],
         Some((1, 2)),
     );
+    a_removal_after_a_silence_of_less_than_two_reports_counts_at_once:
+        (vec![Back(0), Put(target(1, 1)), Away(700), Back(900), Remove(1_100)], None);
+    a_removal_after_the_store_turned_only_this_host_away_counts_at_once: (
+        vec![
+            Back(0), Put(target(1, 1)), Away(700), Elsewhere(6_500), Back(7_000), Remove(7_300),
+        ],
+        None,
+    );
+    a_target_that_a_peer_of_a_reachable_store_does_not_list_is_gone:
+        (vec![Back(0), Put(target(1, 1)), Away(700), Peer], None);
     a_removal_long_after_the_return_counts_at_once:
         (vec![Put(target(1, 1)), Away(0), Back(1_000), Remove(over())], None);
 });
--- a/crates/rosethread_entry/tests/settings.rs
+++ b/crates/rosethread_entry/tests/settings.rs
@@ -26,6 +26,7 @@
 writes_per_s = 800
 retention_s = 300
 record_bytes = 262144
+report_ms = 1200
 
 [bounds]
 grace_s = 8.0
@@ -46,6 +47,7 @@
     no_processor: ("processor = 0.25", "processor = 0", "processor = 0: must be above 0");
     no_history: ("retention_s = 300", "retention_s = 0", "platform.retention_s = 0: must not be 0");
     tiny_records: ("record_bytes = 262144", "record_bytes = 9", "platform.record_bytes = 9");
+    no_reports: ("report_ms = 1200", "report_ms = 0", "platform.report_ms = 0: must be from 1");
     a_short_grace: ("grace_s = 8.0", "grace_s = 0.5", "bounds.grace_s = 0.5: must be from 1");
     a_negative_time: ("keep_s = 5", "keep_s = -1", "bounds.keep_s = -1");
     a_key_that_is_none: ("00112233445566778899aabbccddeeff", "xyz", "keys.shared = (hidden)");
