A host that has never read the registry tells no listing

Change: a registry has an age only after the store's first answer, and without one a host tells no targets and asks others at once.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -133,7 +133,7 @@
         "reason" => refusal.reason.code(), "detail" => &refusal.detail,
         "retry_after_ms" => refusal.retry_after.map_or(0, |it| it.as_millis() as u64),
         "ms" => time.as_millis() as u64, "routes" => entry.routes().revision.0,
-        "targets_age_ms" => entry.targets_age().as_millis() as u64);
+        "targets_age_ms" => entry.targets_age_ms());
 }
 
 async fn run(entry: &Arc<Entry>, call: Call) -> Result<Answer, Refusal> {
--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -155,7 +155,7 @@
             "token_us" => (tries.basis.per_token_s * 1e6) as u64,
             "first_ms" => first.map_or(0, |it| it.as_millis() as u64),
             "ms" => time.as_millis() as u64,
-            "targets_age_ms" => entry.targets_age().as_millis() as u64);
+            "targets_age_ms" => entry.targets_age_ms());
     }
 }
 
--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -1,9 +1,6 @@
 //! Follows the registered targets, from the store or, while it is away, from another host.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use rosethread_platform::StoreError;
 use rosethread_runtime::Tick;
@@ -76,7 +73,7 @@
         }
         gone.extend(registry.expire(now));
     }
-    entry.targets_read.store(now.as_millis() as u64, Ordering::Relaxed);
+    entry.set_targets_read(now);
     publish(entry, &gone);
 }
 
@@ -113,8 +110,12 @@
 
 /// Returns the targets that this host knows, for one that the store turns away.
 pub(crate) fn targets_reply(entry: &Entry) -> PeerReply {
+    let age = entry.registry.lock().expect("no holder of the registry panics").age(entry.now());
+    let Some(age) = age else {
+        return PeerReply::Unable("no targets are known yet".to_owned());
+    };
     let targets: Vec<Target> = entry.targets().values().cloned().collect();
-    PeerReply::Targets { targets, age_ms: entry.targets_age().as_millis() as u64 }
+    PeerReply::Targets { targets, age_ms: age.as_millis() as u64 }
 }
 
 /// Takes over what another host knows, if that is newer.
@@ -143,7 +144,6 @@
             registry.put(target);
         }
     }
-    let read = now.saturating_sub(age).as_millis() as u64;
-    entry.targets_read.store(read, Ordering::Relaxed);
+    entry.set_targets_read(now.saturating_sub(age));
     publish(entry, &gone);
 }
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -92,8 +92,8 @@
     pub(crate) routes: watch::Sender<Arc<Routes>>,
     pub(crate) registry: Mutex<Registry>,
     pub(crate) targets: watch::Sender<Arc<BTreeMap<TargetName, Target>>>,
-    /// When the targets were read last, in milliseconds since the start.
-    pub(crate) targets_read: AtomicU64,
+    /// When the targets were read last, in milliseconds since the start; zero if never.
+    targets_read: AtomicU64,
     /// When the store answered last, in milliseconds since the start; zero before its first answer.
     log_seen: AtomicU64,
     pub(crate) view: watch::Sender<Arc<View>>,
@@ -202,10 +202,23 @@
         self.targets.borrow().clone()
     }
 
-    /// Returns the time since the targets were read.
+    /// Returns the time since the targets were read; the longest there is if they never were.
     pub(crate) fn targets_age(&self) -> Duration {
-        let read = Duration::from_millis(self.targets_read.load(Ordering::Relaxed));
-        self.now().saturating_sub(read)
+        match self.targets_read.load(Ordering::Relaxed) {
+            0 => Duration::MAX,
+            read => self.now().saturating_sub(Duration::from_millis(read)),
+        }
+    }
+
+    /// Returns the time since the targets were read, in milliseconds, for logs.
+    pub(crate) fn targets_age_ms(&self) -> u64 {
+        u64::try_from(self.targets_age().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Takes note of when the targets were read, as time since the start.
+    pub(crate) fn set_targets_read(&self, time: Duration) {
+        // Zero means that they never were.
+        self.targets_read.store((time.as_millis() as u64).max(1), Ordering::Relaxed);
     }
 
     pub(crate) fn view(&self) -> Arc<View> {
--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -170,6 +170,13 @@
         gone
     }
 
+    /// Returns the time since the store's last answer, or nothing if it has never answered.
+    ///
+    /// A host that has just started knows no targets, which must not pass for a recent listing.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.answered.map(|it| now.saturating_sub(it))
+    }
+
     /// Returns the targets by name.
     pub fn targets(&self) -> BTreeMap<TargetName, Target> {
         self.entries.iter().map(|(name, it)| (name.clone(), it.target.clone())).collect()
--- a/crates/rosethread_entry/tests/registry.rs
+++ b/crates/rosethread_entry/tests/registry.rs
@@ -100,6 +100,19 @@
         (vec![Put(target(1, 1)), Away(0), Back(1_000), Remove(over())], None);
 });
 
+/// A host that starts while the store is away knows no targets, and must not tell others so.
+#[test]
+fn a_listing_has_an_age_only_after_the_store_has_answered() {
+    let mut registry = Registry::new(BEAT);
+    assert_eq!(registry.age(at(900)), None);
+    registry.set_away(true, at(1_000));
+    assert_eq!(registry.age(at(1_100)), None);
+    registry.see_elsewhere(at(1_200));
+    assert_eq!(registry.age(at(1_500)), Some(at(300)));
+    registry.set_away(false, at(2_000));
+    assert_eq!(registry.age(at(2_100)), Some(at(100)));
+}
+
 #[test]
 fn a_listing_marks_what_it_lacks() {
     let mut registry = Registry::default();
