New programs whose turns are kept are refused where the outage outlasts their time

Hypothesis: refused at once, callers come back when the store does and nothing is generated in vain.

--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -33,6 +33,12 @@
 /// What the callers of new programs are told to wait while programs under way take all slots.
 const CROWD_RETRY: Duration = Duration::from_millis(1_000);
 
+/// The shortest time to come back that callers are told while the log is away.
+const MIN_OUTAGE_RETRY: Duration = Duration::from_millis(500);
+
+/// The longest time to come back that callers are told while the log is away.
+const MAX_OUTAGE_RETRY: Duration = Duration::from_millis(2_000);
+
 /// The longest time for a call without a deadline of its own.
 const LONGEST: Duration = Duration::from_secs(600);
 
@@ -78,6 +84,7 @@
         };
         let time = call.time.unwrap_or(LONGEST).min(route.timeout);
         let deadline = call.arrived + time;
+        refuse_unkept(entry, &call, &route, time)?;
         let shard = call.program.as_ref().map_or(0, |it| shard_of(entry, &it.program));
         let (body, is_root) = whole_body(entry, &call, &route, shard, deadline).await?;
         let admitted = admit(entry, &call, &route, shard, deadline).await?;
@@ -159,6 +166,24 @@
     }
 }
 
+/// Refuses a new program whose turns have to be kept, if the log's outage outlasts its time.
+///
+/// The end of a kept turn is held back until it is in the log. How long the log stays away is not
+/// known; an outage is expected to last as long again as it has lasted. A program that is to be
+/// finished before that is told at once to come back. Programs under way go on: what was done for
+/// them would be lost.
+fn refuse_unkept(entry: &Entry, call: &Call, route: &Route, time: Duration) -> Result<(), Refusal> {
+    let finish = call.program.as_ref().and_then(|it| it.finish).unwrap_or(time);
+    let is_new = route.history.is_some() && call.previous.is_none();
+    let outage = entry.log_outage().filter(|it| is_new && finish <= *it);
+    let Some(outage) = outage else {
+        return Ok(());
+    };
+    let detail = format!("no host has reached the log for {} ms", outage.as_millis());
+    let refusal = Refusal::not_run(Reason::JournalUnavailable, detail);
+    Err(refusal.retry_after(outage.clamp(MIN_OUTAGE_RETRY, MAX_OUTAGE_RETRY)))
+}
+
 /// Returns the body for the target, and whether it begins a chain.
 async fn whole_body(
     entry: &Arc<Entry>,
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -236,6 +236,12 @@
         self.log_seen.load(Ordering::Relaxed) != 0 && self.log_age() < LOG_AGE
     }
 
+    /// Returns for how long no host is known to reach the store, if that is so.
+    pub(crate) fn log_outage(&self) -> Option<Duration> {
+        let is_reached = self.has_log() || self.view().live().any(|it| it.summary.has_log);
+        (!is_reached).then(|| self.log_age())
+    }
+
     /// Tells whether neither the store nor any other host can be reached.
     pub(crate) fn is_isolated(&self) -> bool {
         let view = self.view();
