A target that fails turns is not a program's home any more

The owner named it as the home at each try, and a turn enters at another host each time, none of which sees enough failures to open its breaker; so a program's three tries went to the same dead target.

Hypothesis: the owner of a shard hears of all its programs' turns and notices.

Change: a settlement names the target that failed the turn. The program has no home there any more; after two failures in a row, of any programs of the shard, nobody of it has for a second.

--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -51,6 +51,9 @@
         self.tried.push(target.clone());
         let is_repeatable = job.route.is_repeatable();
         let is_late = job.time_left().is_zero();
+        if !is_late {
+            job.set_failed(&target);
+        }
         let may_retry = is_repeatable && !is_late && self.ran < job.route.attempts;
         info!(job.entry.logger, "call: a target failed"; "id" => %job.call.id, "target" => %target,
             "detail" => detail, "may_run_again" => may_retry, "ran" => self.ran);
--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -1,7 +1,7 @@
 //! What is settled about a call before it goes to a target: route, deadline, history and budget.
 
 use std::sync::{
-    Arc, Mutex,
+    Arc, Mutex, MutexGuard,
     atomic::{AtomicU64, Ordering},
 };
 
@@ -131,7 +131,14 @@
     /// Takes note of the target that runs the call.
     pub(crate) fn set_target(&self, target: &TargetName) {
         if let Some(grant) = &self.grant {
-            *grant.target.lock().expect("no holder of the target panics") = Some(target.clone());
+            grant.targets().ran = Some(target.clone());
+        }
+    }
+
+    /// Takes note of a target that failed the call.
+    pub(crate) fn set_failed(&self, target: &TargetName) {
+        if let Some(grant) = &self.grant {
+            grant.targets().failed = Some(target.clone());
         }
     }
 
@@ -266,6 +273,13 @@
     (route.priority.saturating_mul(2) + u8::from(!is_underway)).min(LAST_RANK)
 }
 
+/// What became of a call at targets.
+#[derive(Clone, Debug, Default)]
+struct Targets {
+    ran: Option<TargetName>,
+    failed: Option<TargetName>,
+}
+
 /// Tokens that the owner has granted; what was not used goes back when it is dropped.
 struct Grant {
     entry: Arc<Entry>,
@@ -273,7 +287,7 @@
     ask: Ask,
     tokens: Tokens,
     used: AtomicU64,
-    target: Mutex<Option<TargetName>>,
+    targets: Mutex<Targets>,
 }
 
 impl Grant {
@@ -285,10 +299,14 @@
             ask: ask.clone(),
             tokens: ask.tokens,
             used: AtomicU64::new(0),
-            target: Mutex::default(),
+            targets: Mutex::default(),
         }
     }
 
+    fn targets(&self) -> MutexGuard<'_, Targets> {
+        self.targets.lock().expect("no holder of the targets panics")
+    }
+
     fn used(&self) -> Tokens {
         self.used.load(Ordering::Relaxed)
     }
@@ -296,13 +314,14 @@
 
 impl Drop for Grant {
     fn drop(&mut self) {
-        let target = self.target.lock().expect("no holder of the target panics").clone();
+        let Targets { ran, failed } = self.targets().clone();
         let settlement = Settlement {
             program: self.ask.program.clone(),
             session: self.ask.session.clone(),
             request: self.ask.request.clone(),
             used: self.used(),
-            target,
+            target: ran,
+            failed,
         };
         grants::report(&self.entry, self.shard, settlement);
     }
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -26,6 +26,12 @@
 /// The sessions of a program whose last targets are remembered.
 const MAX_SESSIONS: usize = 32;
 
+/// Failures in a row, of turns of all programs of a shard, after which a target is no home.
+const MAX_FAILURES: u32 = 2;
+
+/// How long after its last failure such a target is no home.
+const FAILED_AGE: Duration = Duration::from_millis(1_000);
+
 /// A turn that asks for tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -75,6 +81,8 @@
     pub used: Tokens,
     /// The target that ran the turn, if one did.
     pub target: Option<TargetName>,
+    /// The last target that failed the turn, if one did.
+    pub failed: Option<TargetName>,
 }
 
 /// What a shard's log says about accounts and their owners.
@@ -159,6 +167,9 @@
     earlier: BTreeSet<u64>,
     /// Whether the accounts have been handed over, after which nothing more may be granted.
     is_closed: bool,
+    /// How often targets have failed turns in a row, and when last.
+    #[serde(skip)]
+    failures: BTreeMap<TargetName, (u32, Duration)>,
     accounts: BTreeMap<ProgramLabel, Account>,
 }
 
@@ -220,7 +231,12 @@
         }
         let account = self.accounts.get_mut(&ask.program).expect("the account was just opened");
         account.used = now;
-        let home = account.homes.get(&ask.session).or(account.last_home.as_ref()).cloned();
+        let is_sound = |it: &&TargetName| {
+            let failures = self.failures.get(*it);
+            failures.is_none_or(|(count, last)| *count < MAX_FAILURES || *last + FAILED_AGE <= now)
+        };
+        let home = account.homes.get(&ask.session).or(account.last_home.as_ref());
+        let home = home.filter(is_sound).cloned();
         let underway = account.is_underway;
         if account.open.contains_key(&ask.request) {
             return Verdict::Granted { home, underway };
@@ -288,6 +304,7 @@
 
     /// Takes note of how a turn ended. Its grant is returned but for what was used.
     pub fn settle(&mut self, settlement: &Settlement, now: Duration) {
+        self.judge(settlement, now);
         let Some(account) = self.accounts.get_mut(&settlement.program) else {
             return;
         };
@@ -297,7 +314,13 @@
         }
         account.spent += settlement.used;
         account.is_underway |= settlement.used != 0;
-        if let Some(target) = &settlement.target {
+        if let Some(failed) = &settlement.failed {
+            account.homes.retain(|_, it| it != failed);
+            account.last_home = account.last_home.take().filter(|it| it != failed);
+        }
+        if let Some(target) =
+            settlement.target.as_ref().filter(|it| settlement.failed != Some((*it).clone()))
+        {
             if account.homes.len() < MAX_SESSIONS {
                 account.homes.insert(settlement.session.clone(), target.clone());
             }
@@ -305,12 +328,28 @@
         }
     }
 
+    /// Takes note of whether targets ran or failed a turn.
+    ///
+    /// Turns enter at many hosts, each of which sees too few of them to notice that a target fails.
+    fn judge(&mut self, settlement: &Settlement, now: Duration) {
+        if let Some(target) = &settlement.target {
+            self.failures.remove(target);
+        }
+        if let Some(failed) = &settlement.failed {
+            let (count, last) = self.failures.entry(failed.clone()).or_default();
+            *count += 1;
+            *last = now;
+        }
+    }
+
     /// Closes the ledger, and returns a copy with which another host goes on in this owner's stead.
     ///
     /// Exactly one of the two grants from then on, under the same ceilings, so nothing has to be
     /// recorded. Records that were submitted here count as lost.
     pub fn hand_on(&mut self, now: Duration) -> Ledger {
         let mut copy = self.clone();
+        // The other host counts time from its own start.
+        copy.failures.clear();
         self.is_closed = true;
         for account in copy.accounts.values_mut() {
             account.coming = None;
@@ -349,5 +388,6 @@
     /// Forgets programs without turns for `age`.
     pub fn expire(&mut self, now: Duration, age: Duration) {
         self.accounts.retain(|_, it| now < it.used + age);
+        self.failures.retain(|_, (_, last)| now < *last + FAILED_AGE);
     }
 }
