--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -131,14 +131,14 @@
     /// Takes note of the target that runs the call.
     pub(crate) fn set_target(&self, target: &TargetName) {
         if let Some(grant) = &self.grant {
-            grant.targets().ran = Some(target.clone());
+            grant.visited().ran = Some(target.clone());
         }
     }
 
     /// Takes note of a target that failed the call.
     pub(crate) fn set_failed(&self, target: &TargetName) {
         if let Some(grant) = &self.grant {
-            grant.targets().failed = Some(target.clone());
+            grant.visited().failed = Some(target.clone());
         }
     }
 
@@ -273,10 +273,12 @@
     (route.priority.saturating_mul(2) + u8::from(!is_underway)).min(LAST_RANK)
 }
 
-/// What became of a call at targets.
+/// The targets that a call was sent to, as far as its program's owner needs to know them.
 #[derive(Clone, Debug, Default)]
-struct Targets {
+struct Visited {
+    /// The last one that ran it.
     ran: Option<TargetName>,
+    /// The last one that failed it.
     failed: Option<TargetName>,
 }
 
@@ -287,7 +289,7 @@
     ask: Ask,
     tokens: Tokens,
     used: AtomicU64,
-    targets: Mutex<Targets>,
+    visited: Mutex<Visited>,
 }
 
 impl Grant {
@@ -299,12 +301,12 @@
             ask: ask.clone(),
             tokens: ask.tokens,
             used: AtomicU64::new(0),
-            targets: Mutex::default(),
+            visited: Mutex::default(),
         }
     }
 
-    fn targets(&self) -> MutexGuard<'_, Targets> {
-        self.targets.lock().expect("no holder of the targets panics")
+    fn visited(&self) -> MutexGuard<'_, Visited> {
+        self.visited.lock().expect("no holder of the visited targets panics")
     }
 
     fn used(&self) -> Tokens {
@@ -314,7 +316,7 @@
 
 impl Drop for Grant {
     fn drop(&mut self) {
-        let Targets { ran, failed } = self.targets().clone();
+        let Visited { ran, failed } = self.visited().clone();
         let settlement = Settlement {
             program: self.ask.program.clone(),
             session: self.ask.session.clone(),
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -32,6 +32,7 @@
     pub(crate) target: Target,
     /// The connections that this host may have to it.
     pub(crate) connections: usize,
+    /// What the choice went by.
     pub(crate) basis: Basis,
 }
 
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -318,8 +318,8 @@
             account.homes.retain(|_, it| it != failed);
             account.last_home = account.last_home.take().filter(|it| it != failed);
         }
-        if let Some(target) =
-            settlement.target.as_ref().filter(|it| settlement.failed != Some((*it).clone()))
+        if let Some(target) = &settlement.target
+            && settlement.target != settlement.failed
         {
             if account.homes.len() < MAX_SESSIONS {
                 account.homes.insert(settlement.session.clone(), target.clone());
--- a/crates/rosethread_entry/src/load.rs
+++ b/crates/rosethread_entry/src/load.rs
@@ -164,12 +164,12 @@
 impl Underway {
     /// Takes note of the first event of a stream.
     pub(crate) fn begin(&mut self) {
-        if std::mem::replace(&mut self.is_telling, false) {
-            let first = self.started.elapsed();
-            let mut reading =
-                self.loads.reading.lock().expect("no holder of the reading times panics");
-            reading.entry(self.service.clone()).or_default().observe(self.to_read, first);
+        if !std::mem::replace(&mut self.is_telling, false) {
+            return;
         }
+        let first = self.started.elapsed();
+        let mut reading = self.loads.reading.lock().expect("no holder of the reading times panics");
+        reading.entry(self.service.clone()).or_default().observe(self.to_read, first);
     }
 
     /// Takes note that the target has served the request.
