--- a/crates/rosethread_console/src/args.rs
+++ b/crates/rosethread_console/src/args.rs
@@ -21,6 +21,8 @@
     Report,
     /// Explain a request or program from logs.
     Explain { id: String, files: Vec<String> },
+    /// Add up what calls lost, from logs.
+    Losses { files: Vec<String> },
     /// Print the version.
     Version,
     /// Print the usage.
@@ -67,7 +69,8 @@
     diff OLD NEW    show what differs between two documents
     report          report on service-level burn
     explain ID FILE...
-                    tell the story of a request or program from nodes' logs";
+                    tell the story of a request or program from nodes' logs
+    losses FILE...  add up what calls lost, by second and cause, from nodes' logs";
     options().usage(brief)
 }
 
@@ -112,6 +115,9 @@
         ["explain", id, files @ ..] if !files.is_empty() => {
             Ok(Action::Explain { id: owned(id), files: files.iter().map(owned).collect() })
         }
+        ["losses", files @ ..] if !files.is_empty() => {
+            Ok(Action::Losses { files: files.iter().map(owned).collect() })
+        }
         [] => Err("no command; see --help".to_owned()),
         [other, ..] => Err(format!("{other}: unknown command or wrong arguments; see --help")),
     }
--- a/crates/rosethread_console/src/main.rs
+++ b/crates/rosethread_console/src/main.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod explain;
 mod forms;
+mod losses;
 mod report;
 mod settings;
 mod stream;
@@ -41,6 +42,7 @@
         Action::Explain { id, files } => {
             explain::explain(id, files, args.format == ReportFormat::Json)
         }
+        Action::Losses { files } => losses::losses(files, args.format == ReportFormat::Json),
         Action::Serve => on_runtime(forms::serve(args.settings()?)),
     }
 }
