--- a/crates/rosethread_membership/tests/detector.rs
+++ b/crates/rosethread_membership/tests/detector.rs
@@ -130,18 +130,21 @@
     }
 }
 
+/// No node takes the given one for alive.
+fn check_out(net: &Net, node: usize) {
+    for status in net.status(node) {
+        let is_out = status.is_none_or(|it| Status::Suspect <= it);
+        assert!(is_out, "{} nodes, {} loss: {status:?}", net.size, net.loss);
+    }
+}
+
 /// A dead node must be out within 5 s, whatever the number of nodes.
 fn check_death(size: usize, loss: f64) {
     let mut net = Net::new(size, loss);
     net.run(Duration::from_secs(4));
     net.detectors.remove(&1);
     net.run(Duration::from_secs(5));
-    for status in net.status(1) {
-        assert!(
-            status.is_none_or(|it| Status::Suspect <= it),
-            "{size} nodes, {loss} loss: {status:?}"
-        );
-    }
+    check_out(&net, 1);
 }
 
 rosethread_cases::cases!(check_death {
@@ -159,12 +162,7 @@
     }
     net.detectors.remove(&1);
     net.run_with_loads(20);
-    for status in net.status(1) {
-        assert!(
-            status.is_none_or(|it| Status::Suspect <= it),
-            "{size} nodes, {loss} loss: {status:?}"
-        );
-    }
+    check_out(&net, 1);
 }
 
 rosethread_cases::cases!(check_death_under_load {
