Logs tell refusals, accounts and callers that leave apart

Of a turn that was refused, logs could not say which turn it goes on from, whether its budget was rightly spent, or that its caller had left.

- call: refused names the route and the previous turn; call: ended the previous turn and the budget.
- grants: no tokens, written by the owner at info level, holds the account: spent, uncertain, open, turns, ceiling, epoch.
- call: caller left, for a call whose future is dropped before an answer began; counted as caller-left, and added up by rosethread-console losses and explain.

--- a/crates/rosethread_console/src/explain/cause.rs
+++ b/crates/rosethread_console/src/explain/cause.rs
@@ -4,13 +4,18 @@
 
 /// Returns the sentence for what was decided last.
 pub(super) fn cause(decisions: &[Line], beliefs: &[Line]) -> String {
-    let Some(last) = decisions.last() else {
+    // Clocks of nodes differ, so an owner's line may seem to follow the call's own end.
+    let is_of_call = |it: &&Line| it.message.starts_with("call: ");
+    let Some(last) = decisions.iter().rfind(is_of_call).or(decisions.last()) else {
         return "nothing was decided".to_owned();
     };
     match last.message.as_str() {
         "call: refused" => refused(last, decisions, beliefs),
         "call: interrupted" => format!("its stream was cut: {}.", last.text("detail")),
         "call: ended" => ended(last, decisions),
+        "call: caller left" => {
+            format!("its caller left after {} ms, before an answer had begun.", last.number("ms"))
+        }
         other => format!("the logs end with \"{other}\"; the node may have died then."),
     }
 }
--- a/crates/rosethread_console/src/explain/tests.rs
+++ b/crates/rosethread_console/src/explain/tests.rs
@@ -27,6 +27,16 @@
         r#"{"ts":"1","msg":"call: refused","id":"a","program":"p","reason":"budget-spent","detail":"the budget of 9 does not hold 4 more"}"#,
         "", 1, "budget was spent: the budget of 9",
     );
+    an_account_of_another_node_whose_clock_is_ahead: (
+        "a",
+        r#"{"ts":"1","msg":"call: refused","id":"a","reason":"budget-not-journalled","detail":"other turns may have used the rest"}"#,
+        r#"{"ts":"2","msg":"grants: no tokens","id":"a","spent":600,"uncertain":1150}"#,
+        2, "its budget may be spent",
+    );
+    a_caller_that_left_before_an_answer: (
+        "a", r#"{"ts":"1","msg":"call: caller left","id":"a","ms":40}"#, "", 1,
+        "its caller left after 40 ms",
+    );
     a_second_target: (
         "a",
         "{\"ts\":\"1\",\"msg\":\"call: a target failed\",\"id\":\"a\",\"target\":\"t1\",\"detail\":\"reset\"}
--- a/crates/rosethread_console/src/losses.rs
+++ b/crates/rosethread_console/src/losses.rs
@@ -38,7 +38,7 @@
             ("call: refused", _) => {
                 *self.lost.entry(line.text("reason").to_owned()).or_default() += 1;
             }
-            ("call: ended", "caller-left") => self.left += 1,
+            ("call: ended", "caller-left") | ("call: caller left", _) => self.left += 1,
             ("call: ended", "interrupted") => self.cut += 1,
             ("call: ended", _) => {
                 let home = line.text("home");
@@ -70,7 +70,8 @@
 
 /// Counts the ends of calls among `lines` by second.
 pub(crate) fn add_up(seconds: &mut BTreeMap<String, Second>, lines: &[Line]) {
-    let is_end = |it: &&Line| matches!(it.message.as_str(), "call: ended" | "call: refused");
+    const ENDS: [&str; 3] = ["call: ended", "call: refused", "call: caller left"];
+    let is_end = |it: &&Line| ENDS.contains(&it.message.as_str());
     for line in lines.iter().filter(is_end) {
         let second = line.at.get(..SECOND).unwrap_or(&line.at);
         seconds.entry(second.to_owned()).or_default().count(line);
--- a/crates/rosethread_console/src/losses/tests.rs
+++ b/crates/rosethread_console/src/losses/tests.rs
@@ -32,6 +32,10 @@
         r#"{"ts":"2026-12-04T02:00:07Z","msg":"call: ended","outcome":"caller-left"}"#,
         [0, 0, 0, 1, 0], "",
     );
+    a_caller_that_left_before_an_answer: (
+        r#"{"ts":"2026-12-04T02:00:07Z","msg":"call: caller left","ms":40}"#,
+        [0, 0, 0, 1, 0], "",
+    );
     a_cut_stream: (
         r#"{"ts":"2026-12-04T02:00:07Z","msg":"call: ended","outcome":"interrupted"}"#,
         [0, 0, 0, 0, 1], "",
--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -111,29 +111,80 @@
     /// Dropping the future gives the call up and tells the target to stop.
     pub async fn serve(self: &Arc<Entry>, call: Call) -> Result<Answer, Refusal> {
         let _guard = self.count_call();
-        let (id, arrived, program) = (call.id.clone(), call.arrived, call.program.clone());
+        let mut watch = Watch::new(self, &call);
         let result = run(self, call).await;
+        watch.is_answered = true;
         if let Err(refusal) = &result {
-            let program = program.as_ref().map_or("", |it| it.program.as_str());
-            log_refusal(self, &id, program, arrived, refusal);
+            watch.log_refusal(refusal);
         }
         result
     }
 }
 
-fn log_refusal(entry: &Entry, id: &RequestId, program: &str, arrived: Instant, refusal: &Refusal) {
-    let outcome = match refusal.outcome {
-        Outcome::NotRun => "not-run",
-        Outcome::Failed => "failed",
-        Outcome::Unknown => "unknown",
-    };
-    let time = arrived.elapsed();
-    entry.metrics.observe_call("refused", outcome, time);
-    info!(entry.logger, "call: refused"; "id" => %id, "program" => program, "outcome" => outcome,
-        "reason" => refusal.reason.code(), "detail" => &refusal.detail,
-        "retry_after_ms" => refusal.retry_after.map_or(0, |it| it.as_millis() as u64),
-        "ms" => time.as_millis() as u64, "routes" => entry.routes().revision.0,
-        "targets_age_ms" => entry.targets_age_ms());
+/// What log lines say of a call that ends without a target's answer.
+///
+/// The future that serves a call is dropped when its caller leaves, and nothing else would tell.
+struct Watch {
+    entry: Arc<Entry>,
+    id: RequestId,
+    program: Option<ProgramLabel>,
+    previous: Option<RequestId>,
+    route: Arc<str>,
+    arrived: Instant,
+    is_answered: bool,
+}
+
+impl Watch {
+    fn new(entry: &Arc<Entry>, call: &Call) -> Watch {
+        let path = call.path.split('?').next().unwrap_or_default();
+        let route = entry.routes().find(&call.host, path).map(|it| it.name.clone());
+        Watch {
+            entry: entry.clone(),
+            id: call.id.clone(),
+            program: call.program.as_ref().map(|it| it.program.clone()),
+            previous: call.previous.clone(),
+            route: route.unwrap_or_default(),
+            arrived: call.arrived,
+            is_answered: false,
+        }
+    }
+
+    fn program(&self) -> &str {
+        self.program.as_ref().map_or("", |it| it.as_str())
+    }
+
+    fn previous(&self) -> &str {
+        self.previous.as_ref().map_or("", |it| it.as_str())
+    }
+
+    fn log_refusal(&self, refusal: &Refusal) {
+        let outcome = match refusal.outcome {
+            Outcome::NotRun => "not-run",
+            Outcome::Failed => "failed",
+            Outcome::Unknown => "unknown",
+        };
+        let (entry, time) = (&self.entry, self.arrived.elapsed());
+        entry.metrics.observe_call("refused", outcome, time);
+        info!(entry.logger, "call: refused"; "id" => %self.id, "program" => self.program(),
+            "route" => &*self.route, "previous" => self.previous(), "outcome" => outcome,
+            "reason" => refusal.reason.code(), "detail" => &refusal.detail,
+            "retry_after_ms" => refusal.retry_after.map_or(0, |it| it.as_millis() as u64),
+            "ms" => time.as_millis() as u64, "routes" => entry.routes().revision.0,
+            "targets_age_ms" => entry.targets_age_ms());
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let (entry, time) = (&self.entry, self.arrived.elapsed());
+        entry.metrics.observe_call("left", "caller-left", time);
+        info!(entry.logger, "call: caller left"; "id" => %self.id, "program" => self.program(),
+            "route" => &*self.route, "previous" => self.previous(),
+            "ms" => time.as_millis() as u64);
+    }
 }
 
 async fn run(entry: &Arc<Entry>, call: Call) -> Result<Answer, Refusal> {
--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -159,8 +159,10 @@
             entry.metrics.first_seconds.observe(first.as_secs_f64());
         }
         let program = call.program.as_ref().map_or("", |it| it.program.as_str());
+        let previous = call.previous.as_ref().map_or("", |it| it.as_str());
+        let budget = call.program.as_ref().and_then(|it| it.budget).unwrap_or(0);
         info!(entry.logger, "call: ended"; "id" => %call.id, "program" => program,
-            "route" => &*self.route.name, "routes" => self.routes.revision.0,
+            "previous" => previous, "budget" => budget, "route" => &*self.route.name, "routes" => self.routes.revision.0,
             "target" => %target, "home" => self.home.as_ref().map_or("", |it| it.as_str()),
             "outcome" => outcome, "status" => status, "sends" => tries.sends, "rank" => self.rank,
             "tokens" => self.grant.as_ref().map_or(0, Grant::used),
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -7,7 +7,7 @@
 };
 
 use rosethread_types::{NodeName, Reason, Refusal};
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
@@ -143,15 +143,23 @@
                     // Nobody waits for it: without it a successor is only less certain.
                     drop(shard.record(record));
                 }
-                debug!(entry.logger, "grants: no tokens"; "program" => %ask.program,
-                    "request" => %ask.request, "budget" => ask.budget, "tokens" => ask.tokens,
-                    "verdict" => label(&verdict));
+                log_verdict(entry, index, &shard, ask, &verdict);
                 return Ok(verdict);
             }
         }
     }
 }
 
+/// Logs why a turn got no tokens.
+fn log_verdict(entry: &Entry, index: u32, shard: &Shard, ask: &Ask, verdict: &Verdict) {
+    let balance = shard.ledger().balance(&ask.program);
+    info!(entry.logger, "grants: no tokens"; "verdict" => label(verdict), "shard" => index,
+        "epoch" => shard.epoch(), "program" => %ask.program, "id" => %ask.request,
+        "session" => %ask.session, "budget" => ask.budget, "tokens" => ask.tokens,
+        "spent" => balance.spent, "uncertain" => balance.uncertain, "open" => balance.open,
+        "turns" => balance.turns, "ceiling" => balance.ceiling);
+}
+
 /// Records a higher ceiling and waits for it.
 async fn record(shard: &Shard, ask: &Ask, tokens: u64) -> Result<(), String> {
     let ceiling = shard.ledger().ceiling(&ask.program, tokens);
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -160,6 +160,21 @@
     }
 }
 
+/// How a program's account stands, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Balance {
+    /// What is certainly spent.
+    pub spent: Tokens,
+    /// What earlier owners may have granted beyond that.
+    pub uncertain: Tokens,
+    /// What turns under way hold.
+    pub open: Tokens,
+    /// The turns under way.
+    pub turns: usize,
+    /// What may be granted in all.
+    pub ceiling: Tokens,
+}
+
 /// The accounts of one shard at its owner; time is the duration since the process's start.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
@@ -198,6 +213,18 @@
         }
     }
 
+    /// Returns how a program's account stands; empty for one that is not known.
+    pub fn balance(&self, program: &ProgramLabel) -> Balance {
+        let balance = |it: &Account| Balance {
+            spent: it.spent,
+            uncertain: it.uncertain,
+            open: it.open.values().sum(),
+            turns: it.open.len(),
+            ceiling: it.ceiling,
+        };
+        self.accounts.get(program).map(balance).unwrap_or_default()
+    }
+
     /// Returns the number of programs.
     pub fn len(&self) -> usize {
         self.accounts.len()
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -55,6 +55,11 @@
         self.ledger.lock().expect("no holder of a ledger panics")
     }
 
+    /// Returns the epoch of the claim from which the accounts come.
+    pub(crate) fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// Queues a record; the receiver tells whether it has reached the log.
     pub(crate) fn record(&self, record: LedgerRecord) -> oneshot::Receiver<bool> {
         match &self.writer {
