A claimant asks the owner that the log names whether it owns the shard

What callers saw: after the final loss of all hosts about two of 24 shards had no owner that decided for the whole 15 s of the recovery; 7% of the programs of two kinds got 503 after 1.2 s at each try, and turns that go on from kept ones reached no target in 10 tries.

Cause: a claim was refused by what membership said of the host that the log names as the last claimant: it runs, and it reaches the log. Whether it owns the shard was not asked. It may not: its claim was written and not acknowledged, its claim was dropped half-way, or another host took a higher epoch and ended before its own claim. It then claimed again only if it was responsible by its present view, which changes from moment to moment after the loss of all hosts. The responsible host said that the other one was the owner, that one said that it was not responsible, until one of them ended.

Change: the claimant always asks that host. One that owns the shard, or is claiming it, stays; one that does not says so, and the claim goes on. Membership decides only where there is no reply. While a shard is being claimed its host says that it stays, so that a claim that has just been written is not taken for one that ended.

--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -9,7 +9,7 @@
 mod writer;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool, atomic::Ordering},
     time::Duration,
 };
@@ -94,6 +94,8 @@
 pub(crate) struct Shards {
     owned: Mutex<BTreeMap<u32, Arc<Shard>>>,
     claims: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<Claims>>>>,
+    /// The shards that this node is claiming.
+    claiming: Mutex<BTreeSet<u32>>,
     /// The nodes that decided last, to be asked first.
     owners: Mutex<BTreeMap<u32, NodeName>>,
 }
@@ -128,12 +130,40 @@
         };
     }
 
+    /// Tells whether this node is claiming a shard.
+    fn is_claiming(&self, index: u32) -> bool {
+        self.claiming().contains(&index)
+    }
+
+    fn claiming(&self) -> MutexGuard<'_, BTreeSet<u32>> {
+        self.claiming.lock().expect("no holder of the claimed shards panics")
+    }
+
     fn claim_lock(&self, index: u32) -> Arc<tokio::sync::Mutex<Claims>> {
         let mut claims = self.claims.lock().expect("no holder of the claims panics");
         claims.entry(index).or_default().clone()
     }
 }
 
+/// Marks a shard as being claimed here until it is dropped.
+struct Claiming<'a> {
+    shards: &'a Shards,
+    index: u32,
+}
+
+impl Claiming<'_> {
+    fn start(entry: &Entry, index: u32) -> Claiming<'_> {
+        entry.shards.claiming().insert(index);
+        Claiming { shards: &entry.shards, index }
+    }
+}
+
+impl Drop for Claiming<'_> {
+    fn drop(&mut self) {
+        self.shards.claiming().remove(&self.index);
+    }
+}
+
 /// Returns the shard of a program.
 pub(crate) fn shard_of(entry: &Entry, program: &ProgramLabel) -> u32 {
     let digest = Digest::default().chain(&[program.as_str().as_bytes()]);
@@ -191,6 +221,8 @@
     if let Some(error) = claims.pause() {
         return Err(error);
     }
+    // It ends when the shard is among those that are owned, so that no claimant finds neither.
+    let _claiming = Claiming::start(entry, index);
     match claim::claim(entry, index).await {
         Ok(shard) => {
             entry.shards.owned().insert(index, shard.clone());
@@ -220,11 +252,13 @@
     }
 }
 
-/// Answers another host that wants to claim a shard: an owner that can do its work stays.
+/// Answers another host that wants to claim a shard: an owner that can do its work stays, and so
+/// does one whose claim is under way, since its claim may just have been written.
 pub(crate) fn answer_claimant(entry: &Entry, index: u32) -> PeerReply {
     let shard = entry.shards.get(index);
     let is_working = entry.phase() == Phase::Serving && entry.has_log();
-    if is_working && shard.is_some_and(|it| it.writer.is_some()) {
+    let owns = shard.is_some_and(|it| it.writer.is_some()) || entry.shards.is_claiming(index);
+    if is_working && owns {
         return PeerReply::OwnedBy(entry.settings.node.clone());
     }
     PeerReply::Yielded(give_up(entry, index))
--- a/crates/rosethread_entry/src/shards/claim.rs
+++ b/crates/rosethread_entry/src/shards/claim.rs
@@ -31,38 +31,18 @@
 /// How often a claim takes a higher epoch before it gives up.
 const MAX_EPOCHS: u32 = 5;
 
-/// Returns the owner that the log names, unless its shard may be claimed.
-///
-/// An owner stays for as long as it runs and reaches the log: a change of hands costs more than an
-/// even spread is worth.
-fn sitting_owner(entry: &Entry, seen: &Seen) -> Option<NodeName> {
-    let (owner, run) = seen.owner.clone()?;
-    let view = entry.view();
-    let state = view.get(&owner)?;
-    let is_sitting = !seen.is_released
-        && owner != entry.settings.node
-        && state.incarnation == run
-        && state.status <= Status::Suspect
-        && state.status != Status::Leaving
-        && state.summary.has_log;
-    is_sitting.then_some(owner)
-}
-
 /// Claims a shard, unless its owner can do its work.
 pub(super) async fn claim(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, NotOwned> {
     let mut seen = Seen::default();
     read_on(entry, index, &mut seen).await?;
-    if let Some(owner) = sitting_owner(entry, &seen) {
-        let detail = format!("{owner} owns it since epoch {}", seen.epoch);
-        return Err(NotOwned { owner: Some(owner), detail });
-    }
     let before = seen.epoch;
-    let own = give_up(entry, index).filter(|it| it.epoch == seen.epoch);
-    let handed_over = match seen.owner.clone().filter(|_| !seen.is_released) {
-        _ if let Some(own) = own => own.records,
+    let holds = entry.shards.get(index).is_some_and(|it| it.epoch == seen.epoch);
+    let handed_over = match seen.owner.clone().filter(|_| !seen.is_released && !holds) {
         Some((owner, run)) => ask_to_yield(entry, index, &owner, run, seen.epoch).await?,
         None => Vec::new(),
     };
+    let own = give_up(entry, index).filter(|it| it.epoch == seen.epoch);
+    let handed_over = own.map_or(handed_over, |it| it.records);
     let epoch = fence(entry, index, seen.epoch).await?;
     read_on(entry, index, &mut seen).await?;
     // What a former owner hands over is out of date once another has claimed the shard.
@@ -128,7 +108,12 @@
     Err(StoreError::Fenced)
 }
 
-/// Asks a former owner that still runs for its accounts.
+/// Asks the owner that the log names, if it still runs, for its accounts; it keeps the shard if it
+/// can do its work.
+///
+/// The log only says who claimed last. A claim may have ended half-way, and another host's claim may
+/// have fenced the owner and ended half-way itself, so only the owner knows whether it decides. An
+/// owner stays for as long as it does: a change of hands costs more than an even spread is worth.
 async fn ask_to_yield(
     entry: &Arc<Entry>,
     index: u32,
@@ -138,24 +123,26 @@
 ) -> Result<Vec<LedgerRecord>, NotOwned> {
     let view = entry.view();
     let is_asked = |it: &&NodeState| {
-        it.status < Status::Suspect && it.incarnation == run && it.node != entry.settings.node
+        it.status <= Status::Suspect && it.incarnation == run && it.node != entry.settings.node
     };
     let Some(running) = view.get(owner).filter(is_asked) else {
         return Ok(Vec::new());
     };
+    let stays = |detail: String| NotOwned { owner: Some(owner.clone()), detail };
     match entry.peers.ask(running.contact.peer, PeerRequest::Yield { shard: index }).await {
         // Accounts of another claim than the last one say nothing of what followed it.
         Ok(PeerReply::Yielded(Some(yielded))) if yielded.epoch == epoch => Ok(yielded.records),
-        Ok(PeerReply::Yielded(_)) => Ok(Vec::new()),
-        // What this host believed of the owner was out of date.
-        Ok(PeerReply::OwnedBy(owner)) => {
-            let detail = format!("{owner} reaches the log again");
-            Err(NotOwned { owner: Some(owner), detail })
+        Ok(PeerReply::Yielded(accounts)) => {
+            info!(entry.logger, "shards: the owner in the log does not own it"; "shard" => index,
+                "epoch" => epoch, "owner" => %owner, "has_accounts" => accounts.is_some());
+            Ok(Vec::new())
         }
+        Ok(PeerReply::OwnedBy(_)) => Err(stays(format!("{owner} owns it since epoch {epoch}"))),
         reply => {
+            let is_working = running.status != Status::Leaving && running.summary.has_log;
             warn!(entry.logger, "shards: the former owner did not yield"; "shard" => index,
-                "owner" => %owner, "reply" => ?reply);
-            Ok(Vec::new())
+                "owner" => %owner, "reply" => ?reply, "is_working" => is_working);
+            if is_working { Err(stays(format!("{owner} does not reply"))) } else { Ok(Vec::new()) }
         }
     }
 }
