A claim of a shard does not end with the caller whose turn began it

A claim ran within the call whose turn began it, at a host that is responsible itself; the call's future is dropped when its caller leaves, and callers leave at their deadlines while a store is slow or hosts have just started. Between the append of the claim and its entry among the owned shards the log then names an owner that owns nothing; between the epoch and the append the former owner is fenced for nothing.

Change: the claim runs in a task of its own and keeps the claims' lock until it has ended; the turns that wait for it may leave.

--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 use slog::info;
 use tokio::{
-    sync::oneshot,
+    sync::{OwnedMutexGuard, oneshot},
     time::{Instant, timeout},
 };
 
@@ -210,7 +210,7 @@
         return Err(NotOwned { owner, detail: "this node is stopping".to_owned() });
     }
     let lock = entry.shards.claim_lock(index);
-    let mut claims = lock.lock().await;
+    let claims = lock.lock_owned().await;
     if let Some(shard) = usable() {
         return Ok(shard);
     }
@@ -221,9 +221,30 @@
     if let Some(error) = claims.pause() {
         return Err(error);
     }
+    let (sender, receiver) = oneshot::channel();
+    let claiming = claim_now(entry.clone(), index, claims);
+    entry.tasks.spawn(async move {
+        // Whoever waited may have gone, and the shard is owned all the same.
+        let _ = sender.send(claiming.await);
+    });
+    receiver.await.unwrap_or_else(|_| {
+        let detail = "this node ended during the claim".to_owned();
+        Err(NotOwned { owner: None, detail })
+    })
+}
+
+/// Claims a shard, and takes note of it or of why it was not claimed.
+///
+/// It runs in a task of its own: the turn that begins a claim may be given up by its caller, and a
+/// claim that ends with it would leave the log with an owner that does not own the shard.
+async fn claim_now(
+    entry: Arc<Entry>,
+    index: u32,
+    mut claims: OwnedMutexGuard<Claims>,
+) -> Result<Arc<Shard>, NotOwned> {
     // It ends when the shard is among those that are owned, so that no claimant finds neither.
-    let _claiming = Claiming::start(entry, index);
-    match claim::claim(entry, index).await {
+    let _claiming = Claiming::start(&entry, index);
+    match claim::claim(&entry, index).await {
         Ok(shard) => {
             entry.shards.owned().insert(index, shard.clone());
             entry.metrics.claims.inc();
