Accounts that were given up to a claim that failed are handed over again

What callers see: 503 budget-not-journalled for ever where the budget is spent, or a turn less than the budget holds.

Cause: an owner that a claimant asks gives its shard up and forgets the accounts with the answer. If the answer is lost, or the claim fails afterwards, the next claimant hears that there are none, and counts every recorded ceiling as spent without knowing.

Change: the accounts stay with the host that gave them up until it owns the shard again, and are handed over each time. A claimant drops them unless their epoch is that of the last claim in the log.

--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -94,6 +94,9 @@
 pub(crate) struct Shards {
     owned: Mutex<BTreeMap<u32, Arc<Shard>>>,
     claims: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<Claims>>>>,
+    /// The accounts of shards that this node has given up, until it owns them again. Whoever asked for
+    /// them may not have heard them, or may have failed to claim the shard.
+    yielded: Mutex<BTreeMap<u32, Yielded>>,
     /// The shards that this node is claiming.
     claiming: Mutex<BTreeSet<u32>>,
     /// The nodes that decided last, to be asked first.
@@ -105,6 +108,16 @@
         self.owned.lock().expect("no holder of the shards panics")
     }
 
+    /// Takes note that this node owns a shard.
+    fn insert(&self, index: u32, shard: Arc<Shard>) {
+        self.owned().insert(index, shard);
+        self.yielded().remove(&index);
+    }
+
+    fn yielded(&self) -> MutexGuard<'_, BTreeMap<u32, Yielded>> {
+        self.yielded.lock().expect("no holder of the yielded accounts panics")
+    }
+
     /// Returns the shard if this node owns it.
     pub(crate) fn get(&self, index: u32) -> Option<Arc<Shard>> {
         self.owned().get(&index).filter(|it| !it.is_lost()).cloned()
@@ -246,7 +259,7 @@
     let _claiming = Claiming::start(&entry, index);
     match claim::claim(&entry, index).await {
         Ok(shard) => {
-            entry.shards.owned().insert(index, shard.clone());
+            entry.shards.insert(index, shard.clone());
             entry.metrics.claims.inc();
             Ok(shard)
         }
@@ -294,12 +307,20 @@
     pub records: Vec<LedgerRecord>,
 }
 
-/// Stops granting for a shard, and returns what its successor has to know.
+/// Stops granting for a shard, and returns what its successor has to know, each time it is asked.
+///
+/// The accounts are exact for as long as no other host has claimed the shard, which the claimant
+/// knows by their epoch.
 pub(crate) fn give_up(entry: &Entry, index: u32) -> Option<Yielded> {
-    let shard = entry.shards.owned().remove(&index)?;
-    let is_lost = shard.is_lost.swap(true, Ordering::Relaxed);
-    info!(entry.logger, "shards: given up"; "shard" => index, "was_lost" => is_lost);
-    (!is_lost).then(|| Yielded { epoch: shard.epoch, records: shard.ledger().release(shard.epoch) })
+    if let Some(shard) = entry.shards.owned().remove(&index) {
+        let is_lost = shard.is_lost.swap(true, Ordering::Relaxed);
+        info!(entry.logger, "shards: given up"; "shard" => index, "was_lost" => is_lost);
+        if !is_lost {
+            let records = shard.ledger().release(shard.epoch);
+            entry.shards.yielded().insert(index, Yielded { epoch: shard.epoch, records });
+        }
+    }
+    entry.shards.yielded().get(&index).cloned()
 }
 
 fn encode(record: &LedgerRecord) -> Bytes {
@@ -336,14 +357,14 @@
 /// Accounts from an earlier claim than this node's own are dropped: they are out of date here.
 pub(crate) fn take_on(entry: &Entry, index: u32, epoch: u64, mut ledger: Ledger) {
     ledger.take_on(entry.now());
-    let mut owned = entry.shards.owned();
-    let is_newer = owned.get(&index).is_none_or(|it| it.is_lost() && it.epoch <= epoch);
+    let old = entry.shards.owned().get(&index).cloned();
+    let is_newer = old.is_none_or(|it| it.is_lost() && it.epoch <= epoch);
     info!(entry.logger, "shards: taken on"; "shard" => index, "epoch" => epoch,
         "programs" => ledger.len(), "kept" => is_newer);
     if is_newer {
         let ledger = Mutex::new(ledger);
         let shard = Shard { epoch, ledger, writer: None, is_lost: Arc::default() };
-        owned.insert(index, Arc::new(shard));
+        entry.shards.insert(index, Arc::new(shard));
     }
 }
 
