An owner that was fenced for nothing hands its accounts over as well

An owner whose append was refused, since a claimant took a higher epoch and ended, knew its accounts and told the next claimant that it had none; its programs were then counted by their ceilings. They are exact while no claim follows its own in the log, which the claimant sees by the epoch, and its ledger is closed when they are handed over, so nothing is granted beside them. Read from the code; the tests of claims pass with it.

--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -315,10 +315,8 @@
     if let Some(shard) = entry.shards.owned().remove(&index) {
         let is_lost = shard.is_lost.swap(true, Ordering::Relaxed);
         info!(entry.logger, "shards: given up"; "shard" => index, "was_lost" => is_lost);
-        if !is_lost {
-            let records = shard.ledger().release(shard.epoch);
-            entry.shards.yielded().insert(index, Yielded { epoch: shard.epoch, records });
-        }
+        let records = shard.ledger().release(shard.epoch);
+        entry.shards.yielded().insert(index, Yielded { epoch: shard.epoch, records });
     }
     entry.shards.yielded().get(&index).cloned()
 }
