A claim that ends during a drain is released, and none begins during one

A drain hands over the shards that are owned when it begins. A claim under way then ended later and was never released, and a turn that waited for the claims' lock could begin one: the process ended without the record that lets a successor go on with exact accounts, and its programs were uncertain. Now the phase is looked at behind the lock, and a claim that ends during a drain is released at once.

--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -218,15 +218,15 @@
     if let Some(shard) = usable() {
         return Ok(shard);
     }
-    if Phase::Serving < entry.phase() {
-        let owner = entry.shards.last_owner(index);
-        return Err(NotOwned { owner, detail: "this node is stopping".to_owned() });
-    }
     let lock = entry.shards.claim_lock(index);
     let claims = lock.lock_owned().await;
     if let Some(shard) = usable() {
         return Ok(shard);
     }
+    if Phase::Serving < entry.phase() {
+        let owner = entry.shards.last_owner(index);
+        return Err(NotOwned { owner, detail: "this node is stopping".to_owned() });
+    }
     if !candidates_for(entry, index).contains(&entry.settings.node) {
         let detail = format!("this node is not responsible for shard {index}");
         return Err(NotOwned { owner: None, detail });
@@ -261,6 +261,10 @@
         Ok(shard) => {
             entry.shards.insert(index, shard.clone());
             entry.metrics.claims.inc();
+            if Phase::Serving < entry.phase() {
+                // The drain has handed over the shards that were owned before.
+                release(&entry, index).await;
+            }
             Ok(shard)
         }
         Err(error) => {
