--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -227,9 +227,12 @@
         let owner = entry.shards.last_owner(index);
         return Err(NotOwned { owner, detail: "this node is stopping".to_owned() });
     }
-    if !candidates_for(entry, index).contains(&entry.settings.node) {
+    let candidates = candidates_for(entry, index);
+    if !candidates.contains(&entry.settings.node) {
+        // Views differ for a while after many hosts have started, so the asker may not know it.
+        let owner = candidates.into_iter().next();
         let detail = format!("this node is not responsible for shard {index}");
-        return Err(NotOwned { owner: None, detail });
+        return Err(NotOwned { owner, detail });
     }
     if let Some(error) = claims.pause() {
         return Err(error);
