A claimant judges an owner that does not reply by what is believed of it now

The question may take 0.9 s, in which membership may have found the owner dead; it was judged by the state from before, and the claim waited for another round. The doc comments of claims are shorter, and one that was out of date is mended; the mark of a claim under way is looked at first, so that a claim that ends just then is seen in one of the two places.

--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -2,8 +2,8 @@
 //!
 //! A shard is claimed when its first turn arrives at the host that is responsible for it. The
 //! claim takes a higher epoch, after which the log refuses the former owner, and then reads all
-//! that was recorded. A former owner that still runs is asked to settle first, so that the
-//! successor's accounts are exact. See `docs/design/platform.md`.
+//! that was recorded. The host that the log names is asked first: it keeps the shard if it owns it,
+//! and hands its accounts over if it cannot do its work. See `docs/design/platform.md`.
 
 mod claim;
 mod writer;
@@ -213,6 +213,8 @@
 }
 
 /// Returns the shard, claiming it first if this node is responsible for it.
+///
+/// A claim goes on if the caller stops waiting.
 pub(crate) async fn own(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, NotOwned> {
     let usable = || entry.shards.get(index).filter(|it| it.writer.is_some() || !entry.has_log());
     if let Some(shard) = usable() {
@@ -238,10 +240,10 @@
         return Err(error);
     }
     let (sender, receiver) = oneshot::channel();
-    let claiming = claim_now(entry.clone(), index, claims);
+    let claim = claim_now(entry.clone(), index, claims);
     entry.tasks.spawn(async move {
         // Whoever waited may have gone, and the shard is owned all the same.
-        let _ = sender.send(claiming.await);
+        let _ = sender.send(claim.await);
     });
     receiver.await.unwrap_or_else(|_| {
         let detail = "this node ended during the claim".to_owned();
@@ -251,14 +253,13 @@
 
 /// Claims a shard, and takes note of it or of why it was not claimed.
 ///
-/// It runs in a task of its own: the turn that begins a claim may be given up by its caller, and a
-/// claim that ends with it would leave the log with an owner that does not own the shard.
+/// Runs in a task of its own, so that a caller that leaves does not end the claim half-way.
 async fn claim_now(
     entry: Arc<Entry>,
     index: u32,
     mut claims: OwnedMutexGuard<Claims>,
 ) -> Result<Arc<Shard>, NotOwned> {
-    // It ends when the shard is among those that are owned, so that no claimant finds neither.
+    // Dropped after the shard is in `owned`, so `answer_claimant` always sees one of the two.
     let _claiming = Claiming::start(&entry, index);
     match claim::claim(&entry, index).await {
         Ok(shard) => {
@@ -296,9 +297,10 @@
 /// Answers another host that wants to claim a shard: an owner that can do its work stays, and so
 /// does one whose claim is under way, since its claim may just have been written.
 pub(crate) fn answer_claimant(entry: &Entry, index: u32) -> PeerReply {
-    let shard = entry.shards.get(index);
     let is_working = entry.phase() == Phase::Serving && entry.has_log();
-    let owns = shard.is_some_and(|it| it.writer.is_some()) || entry.shards.is_claiming(index);
+    // A claim that ends just now has put its shard among those that are owned before.
+    let owns = entry.shards.is_claiming(index)
+        || entry.shards.get(index).is_some_and(|it| it.writer.is_some());
     if is_working && owns {
         return PeerReply::OwnedBy(entry.settings.node.clone());
     }
--- a/crates/rosethread_entry/src/shards/claim.rs
+++ b/crates/rosethread_entry/src/shards/claim.rs
@@ -111,9 +111,9 @@
 /// Asks the owner that the log names, if it still runs, for its accounts; it keeps the shard if it
 /// can do its work.
 ///
-/// The log only says who claimed last. A claim may have ended half-way, and another host's claim may
-/// have fenced the owner and ended half-way itself, so only the owner knows whether it decides. An
-/// owner stays for as long as it does: a change of hands costs more than an even spread is worth.
+/// The log says who claimed last, not who owns: that claim may not have ended, or may have been
+/// fenced since by one that did not end. An owner stays for as long as it works, since a change of
+/// hands costs more than an even spread is worth.
 async fn ask_to_yield(
     entry: &Arc<Entry>,
     index: u32,
@@ -121,28 +121,37 @@
     run: Incarnation,
     epoch: u64,
 ) -> Result<Vec<LedgerRecord>, NotOwned> {
-    let view = entry.view();
-    let is_asked = |it: &&NodeState| {
+    let is_running = |it: &&NodeState| {
         it.status <= Status::Suspect && it.incarnation == run && it.node != entry.settings.node
     };
-    let Some(running) = view.get(owner).filter(is_asked) else {
+    let contact = entry.view().get(owner).filter(is_running).map(|it| it.contact.peer);
+    let Some(contact) = contact else {
         return Ok(Vec::new());
     };
-    let stays = |detail: String| NotOwned { owner: Some(owner.clone()), detail };
-    match entry.peers.ask(running.contact.peer, PeerRequest::Yield { shard: index }).await {
+    let refusal = |detail: String| NotOwned { owner: Some(owner.clone()), detail };
+    match entry.peers.ask(contact, PeerRequest::Yield { shard: index }).await {
         // Accounts of another claim than the last one say nothing of what followed it.
         Ok(PeerReply::Yielded(Some(yielded))) if yielded.epoch == epoch => Ok(yielded.records),
-        Ok(PeerReply::Yielded(accounts)) => {
-            info!(entry.logger, "shards: the owner in the log does not own it"; "shard" => index,
-                "epoch" => epoch, "owner" => %owner, "has_accounts" => accounts.is_some());
+        Ok(PeerReply::Yielded(yielded)) => {
+            info!(entry.logger, "shards: the owner in the log has no accounts"; "shard" => index,
+                "epoch" => epoch, "owner" => %owner,
+                "of_epoch" => yielded.map_or(0, |it| it.epoch));
             Ok(Vec::new())
         }
-        Ok(PeerReply::OwnedBy(_)) => Err(stays(format!("{owner} owns it since epoch {epoch}"))),
+        Ok(PeerReply::OwnedBy(_)) => Err(refusal(format!("{owner} owns it since epoch {epoch}"))),
         reply => {
-            let is_working = running.status != Status::Leaving && running.summary.has_log;
+            // What is believed of it may have changed while it was asked.
+            let view = entry.view();
+            let running = view.get(owner).filter(is_running);
+            let is_working =
+                running.is_some_and(|it| it.status != Status::Leaving && it.summary.has_log);
             warn!(entry.logger, "shards: the former owner did not yield"; "shard" => index,
                 "owner" => %owner, "reply" => ?reply, "is_working" => is_working);
-            if is_working { Err(stays(format!("{owner} does not reply"))) } else { Ok(Vec::new()) }
+            if is_working {
+                Err(refusal(format!("{owner} does not reply")))
+            } else {
+                Ok(Vec::new())
+            }
         }
     }
 }
