Turns go on though their shard's keeper cannot read them

Cause: chain_once asked the keeper, took its Unable or its silence for the last word, and asked it again each 60 ms until 1.2 s were over, though any host may read the log. And each call that waited read anew once the one before it had failed.

Now the asking host reads the log itself in both cases if the store answers it. A keeper that is merely slow is not pressed: one read a shard and host is under way at a time, those who wait share what it found, and a read that failed gives its error to those who came while it ran or within 100 ms after.

Not covered: a turn that enters at the host that cannot read and keeps the shard itself is refused as before.

--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -44,6 +44,9 @@
 /// The pause before the turns are asked for again, or an append is repeated.
 const AGAIN: Duration = Duration::from_millis(60);
 
+/// The pause after a read that failed: all calls that wait for its turns would press the store.
+const READ_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a caller is told to wait when the earlier turns could not be found out.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -68,11 +71,27 @@
 
 type SharedTurns = Arc<Mutex<ShardTurns>>;
 
+/// The reads of one shard's turns, of which one at a time is under way.
+#[derive(Default)]
+struct Reads {
+    /// When the last one failed, and why.
+    failed: Option<(Instant, StoreError)>,
+}
+
+impl Reads {
+    /// Returns why nothing is read for a call that came at `came`: a read has failed since, or just
+    /// before.
+    fn failure(&self, came: Instant) -> Option<StoreError> {
+        let (at, error) = self.failed.as_ref()?;
+        (came < *at + READ_PAUSE).then(|| error.clone())
+    }
+}
+
 /// The turns that a node holds, by shard.
 #[derive(Default)]
 pub(crate) struct Turns {
     shards: Mutex<BTreeMap<u32, SharedTurns>>,
-    reads: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<()>>>>,
+    reads: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<Reads>>>>,
     writers: Mutex<BTreeMap<u32, mpsc::UnboundedSender<Pending>>>,
 }
 
@@ -82,7 +101,7 @@
         shards.entry(index).or_default().clone()
     }
 
-    fn read_lock(&self, index: u32) -> Arc<tokio::sync::Mutex<()>> {
+    fn read_lock(&self, index: u32) -> Arc<tokio::sync::Mutex<Reads>> {
         let mut reads = self.reads.lock().expect("no holder of the reads panics");
         reads.entry(index).or_default().clone()
     }
@@ -179,23 +198,25 @@
 }
 
 async fn chain_once(entry: &Arc<Entry>, shard: u32, turn: &RequestId) -> PeerReply {
-    let contact = match responsible_for(entry, shard) {
-        Some(owner) if owner != entry.settings.node => {
-            entry.view().get(&owner).map(|it| it.contact.peer)
-        }
-        _ => None,
-    };
+    let keeper = responsible_for(entry, shard).filter(|it| *it != entry.settings.node);
+    let contact = keeper.and_then(|it| entry.view().get(&it).map(|it| it.contact.peer));
     let Some(contact) = contact else {
         return chain_here(entry, shard, turn).await;
     };
     let request = PeerRequest::Chain { shard, turn: turn.clone() };
-    match entry.peers.ask(contact, request).await {
-        Ok(reply) => reply,
+    let why = match entry.peers.ask(contact, request).await {
+        Ok(PeerReply::Unable(reason)) => reason,
+        Ok(reply) => return reply,
         // The log knows as much as the host that cannot be reached.
-        Err(PeerError::Unreachable(_)) => chain_here(entry, shard, turn).await,
-        // A host that is slow may be reading the log just now; another reader would slow it more.
-        Err(error @ PeerError::TimedOut) => PeerReply::Unable(error.to_string()),
+        Err(PeerError::Unreachable(_)) => return chain_here(entry, shard, turn).await,
+        Err(error @ PeerError::TimedOut) => error.to_string(),
+    };
+    if !entry.has_log() {
+        return PeerReply::Unable(why);
     }
+    info!(entry.logger, "history: the keeper cannot tell, so this host looks"; "shard" => shard,
+        "keeper" => %contact, "turn" => %turn, "why" => why);
+    chain_here(entry, shard, turn).await
 }
 
 /// Returns everything that was said up to `turn`, from memory or from the log.
@@ -204,14 +225,21 @@
     if let Some(text) = lock(&turns).chains.text(turn, entry.now()) {
         return PeerReply::Chain(text);
     }
+    let came = Instant::now();
     let read_lock = entry.turns.read_lock(shard);
-    let _reading = read_lock.lock().await;
+    let mut reads = read_lock.lock().await;
     if let Some(text) = lock(&turns).chains.text(turn, entry.now()) {
         return PeerReply::Chain(text);
     }
+    if let Some(error) = reads.failure(came) {
+        return PeerReply::Unable(error.to_string());
+    }
     if let Err(error) = read_on(entry, shard, &turns).await {
+        info!(entry.logger, "history: the log was not read"; "shard" => shard, "why" => %error);
+        reads.failed = Some((Instant::now(), error.clone()));
         return PeerReply::Unable(error.to_string());
     }
+    reads.failed = None;
     match lock(&turns).chains.text(turn, entry.now()) {
         Some(text) => PeerReply::Chain(text),
         None => PeerReply::NoTurn,
