Recovered accounts are not forgotten at the next tidying

Programs that had spent their budget got it again when their shard was claimed by a host that had been up for longer than the age of accounts, at least 120 s (BUDGET).

Cause: Ledger::recover left the time of the last use at zero, the start of the host's process, so the tidying that runs each 2 s forgot all accounts that had just been claimed. Read from the code; it was not seen in a run of hosts.

Now Ledger::claimed, called once at the end of a claim, counts all that was recovered as used at the claim. Records do not tell the time of the last use; the claim is the latest that it can be.

Evidence: a ledger claimed an hour after the start and tidied 2 s or 119 s later, age 120 s. With the body of the new method emptied, as before:

a_spent_program_is_known_at_the_tidying_after_a_claim: left: 0, right: 1 a_spent_program_is_known_until_its_age_after_a_claim: left: 0, right: 1

(programs known). With it both pass, three runs of three, and at 120 s the account is forgotten as before.

--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -213,6 +213,16 @@
         }
     }
 
+    /// Begins to count time for what was recovered, which counts as used at the claim.
+    ///
+    /// Records do not tell when a program was used last, and one that spent its budget just before
+    /// the claim must not be forgotten, since it would get the budget again.
+    pub fn claimed(&mut self, now: Duration) {
+        for account in self.accounts.values_mut() {
+            account.used = now;
+        }
+    }
+
     /// Returns how a program's account stands; empty for one that is not known.
     pub fn balance(&self, program: &ProgramLabel) -> Balance {
         let balance = |it: &Account| Balance {
--- a/crates/rosethread_entry/src/shards/claim.rs
+++ b/crates/rosethread_entry/src/shards/claim.rs
@@ -80,6 +80,7 @@
         "released" => seen.is_released, "handed_over" => handed_over.len(), "records" => seen.records, "programs" => seen.ledger.len());
     let is_lost = Arc::new(AtomicBool::new(false));
     let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
+    seen.ledger.claimed(entry.now());
     Ok(Arc::new(Shard { epoch, ledger: Mutex::new(seen.ledger), writer: Some(writer), is_lost }))
 }
 
--- a/crates/rosethread_entry/tests/ledger.rs
+++ b/crates/rosethread_entry/tests/ledger.rs
@@ -315,6 +315,38 @@
     a_new_program_finishes_under_a_successor: (3, 0, true);
 });
 
+/// Lets a host that has been up for an hour claim the shard of a spent program, tidy up a while
+/// later, and decide about another turn.
+fn check_tidied(after_s: u64, is_known: bool) {
+    let (up, age) = (Duration::from_secs(3_600), Duration::from_secs(120));
+    let ask = Ask {
+        program: "p".parse().unwrap(),
+        session: "s".parse().unwrap(),
+        request: "r".parse().unwrap(),
+        budget: 2 * TURN,
+        tokens: TURN,
+    };
+    let owner = "node-1".parse().unwrap();
+    let (program, budget) = (ask.program.clone(), ask.budget);
+    let mut ledger = Ledger::default();
+    ledger.recover(&LedgerRecord::Claim { epoch: 1, owner, run: Incarnation(1) });
+    ledger.recover(&LedgerRecord::Ceiling { program, budget, spent: budget, tokens: budget });
+    ledger.claimed(up);
+    let now = up + Duration::from_secs(after_s);
+    ledger.expire(now, age);
+    assert_eq!(ledger.len(), usize::from(is_known));
+    assert_eq!(ledger.ask(&ask, now) == Verdict::Spent, is_known);
+}
+
+rosethread_cases::cases!(check_tidied {
+    // Guards against BUDGET: a host that had been up for long forgot all that it had just recovered.
+    a_spent_program_is_known_at_the_tidying_after_a_claim: (2, true);
+    // Guards against BUDGET: a recovered account is remembered for less than one that was used.
+    a_spent_program_is_known_until_its_age_after_a_claim: (119, true);
+    // Guards against accounts that are never forgotten.
+    a_recovered_program_without_turns_is_forgotten: (120, false);
+});
+
 /// What becomes of one turn after the other: the program, the target, and whether it failed there.
 fn check_home(turns: &[(&str, &str, bool)], asks_at_ms: u64, expected: Option<&str>) {
     let mut ledger = Ledger::default();
