Turns that a host has forgotten are read again before it denies them

A caller whose host, or the keeper that it asks, had once read a shard's log, and not been used for these turns since, could get 404 unknown-turn for a turn that was answered a moment ago (LOST). Read from the code; not seen in a run of hosts.

Cause: a host forgets turns by their last use at this host, while the offset from which it reads on stays behind them. Where another host serves the chain, its ancestors grow old here. With routes that keep turns for 60 s the age is 120 s: a host read turn a at 0 s, others went on from it each 50 s, a was forgotten at 120 s, and at 160 s the host, now the keeper, read b, c and d, had a gap before b, and called d unknown. The same where a new document shortens the retention: what it makes the host forget was promised for longer.

Now a host that has forgotten turns reads the partition once more from its begin before it says that there is no such turn. What it reads counts as fresh, so until the age has passed again only turns that the log itself has dropped can make it start anew.

The state of a shard's turns moves from history.rs to chains.rs as ShardTurns, without the entry, so that a test can drive it; a record that cannot be read is logged with its shard and offset.

Evidence: pure tests of ShardTurns over records of a chain as above. With the restart emptied, as before:

a_turn_whose_ancestors_were_forgotten_is_found: left: Gap, right: Text(b"a\nb\nc\nd\n") a_forgotten_turn_is_found: left: Nothing, right: Text(b"a\n")

The loop that restarts, in history.rs, is not driven over sockets: the least age is 120 s.

Lints, format and the docs of rosethread_entry pass.

--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -14,7 +14,6 @@
 use rosethread_membership::NodeState;
 use rosethread_platform::{Partition, StoreError};
 use rosethread_types::{NodeName, Reason, Refusal, RequestId, StreamName};
-use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::{
     sync::{mpsc, oneshot},
@@ -22,7 +21,7 @@
 };
 
 use crate::{
-    chains::{Chains, Turn},
+    chains::{Found, ShardTurns, Turn, pieces},
     entry::Entry,
     pace::Pace,
     peers::{PeerError, PeerReply, PeerRequest},
@@ -35,9 +34,6 @@
 /// Bytes from which an append takes no further turns.
 const BATCH_BYTES: usize = 512 << 10;
 
-/// Bytes of a record that are not part of the piece of a turn that it holds.
-const PIECE_OVERHEAD: usize = 128;
-
 /// The longest wait for the turns before a call until it is refused.
 const CHAIN_TIME: Duration = Duration::from_millis(1_200);
 
@@ -50,25 +46,6 @@
 /// What a caller is told to wait when the earlier turns could not be found out.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// A part of a turn as it lies in the log; the parts of one turn follow each other.
-#[derive(Serialize, Deserialize)]
-struct Piece {
-    turn: RequestId,
-    index: u32,
-    count: u32,
-    bytes: Vec<u8>,
-}
-
-/// The turns of one shard, as far as they are known here.
-#[derive(Default)]
-struct ShardTurns {
-    chains: Chains,
-    /// The offset up to which the partition has been read.
-    next: u64,
-    /// The pieces of a turn whose last one has not been read.
-    partial: Vec<u8>,
-}
-
 type SharedTurns = Arc<Mutex<ShardTurns>>;
 
 /// The reads of one shard's turns, of which one at a time is under way.
@@ -123,8 +100,8 @@
         let mut bytes = 0;
         for turns in shards.values() {
             let mut turns = lock(turns);
-            turns.chains.expire(now, age);
-            bytes += turns.chains.size().1;
+            turns.expire(now, age);
+            bytes += turns.size().1;
         }
         bytes
     }
@@ -222,87 +199,68 @@
 /// Returns everything that was said up to `turn`, from memory or from the log.
 pub(crate) async fn chain_here(entry: &Entry, shard: u32, turn: &RequestId) -> PeerReply {
     let turns = entry.turns.shard(shard);
-    if let Some(text) = lock(&turns).chains.text(turn, entry.now()) {
+    if let Found::Text(text) = lock(&turns).find(turn, entry.now()) {
         return PeerReply::Chain(text);
     }
     let came = Instant::now();
     let read_lock = entry.turns.read_lock(shard);
     let mut reads = read_lock.lock().await;
-    if let Some(text) = lock(&turns).chains.text(turn, entry.now()) {
+    if let Found::Text(text) = lock(&turns).find(turn, entry.now()) {
         return PeerReply::Chain(text);
     }
     if let Some(error) = reads.failure(came) {
         return PeerReply::Unable(error.to_string());
     }
-    if let Err(error) = read_on(entry, shard, &turns).await {
-        info!(entry.logger, "history: the log was not read"; "shard" => shard, "why" => %error);
-        reads.failed = Some((Instant::now(), error.clone()));
-        return PeerReply::Unable(error.to_string());
-    }
-    reads.failed = None;
-    match lock(&turns).chains.text(turn, entry.now()) {
-        Some(text) => PeerReply::Chain(text),
-        None => PeerReply::NoTurn,
+    loop {
+        if let Err(error) = read_on(entry, shard, &turns).await {
+            info!(entry.logger, "history: the log was not read"; "shard" => shard, "why" => %error);
+            reads.failed = Some((Instant::now(), error.clone()));
+            return PeerReply::Unable(error.to_string());
+        }
+        reads.failed = None;
+        let mut turns = lock(&turns);
+        match turns.find(turn, entry.now()) {
+            Found::Text(text) => return PeerReply::Chain(text),
+            Found::Gap | Found::Nothing if turns.restart() => (),
+            Found::Gap => return PeerReply::Unable("an earlier turn is missing".to_owned()),
+            Found::Nothing => return PeerReply::NoTurn,
+        }
     }
 }
 
 /// Reads a partition to its end.
 async fn read_on(entry: &Entry, shard: u32, turns: &SharedTurns) -> Result<(), StoreError> {
     let partition = partition(shard);
-    let first = lock(turns).next;
+    let first = lock(turns).next();
     loop {
-        let next = lock(turns).next;
+        let next = lock(turns).next();
         let read = match entry.store.read(&partition, next, READ_BYTES, Duration::ZERO).await {
             Err(StoreError::Expired { first }) => {
-                lock(turns).next = first;
+                lock(turns).skip(first);
                 continue;
             }
             read => read?,
         };
         let mut turns = lock(turns);
         for it in &read.entries {
-            turns.next = it.offset + 1;
-            turns.take(entry, &it.data);
-        }
-        if read.end <= turns.next || read.entries.is_empty() {
-            let count = turns.chains.size().0;
-            info!(entry.logger, "history: read the log"; "shard" => shard, "from" => first,
-                "to" => turns.next, "turns" => count);
-            return Ok(());
-        }
-    }
-}
-
-impl ShardTurns {
-    fn take(&mut self, entry: &Entry, data: &[u8]) {
-        let piece: Piece = match postcard::from_bytes(data) {
-            Ok(piece) => piece,
-            Err(error) => {
+            if let Err(error) = turns.take(it.offset, &it.data, entry.now()) {
                 warn!(entry.logger, "history: a record is not in the expected form";
-                    "error" => %error);
-                return;
+                    "shard" => shard, "offset" => it.offset, "error" => %error);
             }
-        };
-        if piece.index == 0 {
-            self.partial.clear();
         }
-        self.partial.extend_from_slice(&piece.bytes);
-        if piece.index + 1 < piece.count {
-            return;
-        }
-        match postcard::from_bytes(&self.partial) {
-            Ok(turn) => self.chains.keep(turn, entry.now()),
-            Err(error) => warn!(entry.logger, "history: a turn's pieces do not fit together";
-                "turn" => %piece.turn, "error" => %error),
+        if read.end <= turns.next() || read.entries.is_empty() {
+            let count = turns.size().0;
+            info!(entry.logger, "history: read the log"; "shard" => shard, "from" => first,
+                "to" => turns.next(), "turns" => count);
+            return Ok(());
         }
-        self.partial.clear();
     }
 }
 
 /// Holds a turn that has been written to the log.
 fn keep_here(entry: &Entry, shard: u32, turn: Turn) {
     let turns = entry.turns.shard(shard);
-    lock(&turns).chains.keep(turn, entry.now());
+    lock(&turns).keep(turn, entry.now());
 }
 
 /// Writes a finished turn to the log; the caller may see its end when this returns without error.
@@ -404,18 +362,3 @@
         }
     }
 }
-
-fn pieces(turn: &Turn, record_bytes: usize) -> Vec<Bytes> {
-    let bytes = postcard::to_stdvec(turn).expect("a turn serialises");
-    let room = record_bytes.saturating_sub(PIECE_OVERHEAD).max(1);
-    let count = bytes.len().div_ceil(room) as u32;
-    let chunks = bytes.chunks(room).enumerate();
-    let piece = |(index, chunk): (usize, &[u8])| Piece {
-        turn: turn.id.clone(),
-        index: index as u32,
-        count,
-        bytes: chunk.to_vec(),
-    };
-    let encode = |it: Piece| Bytes::from(postcard::to_stdvec(&it).expect("a piece serialises"));
-    chunks.map(piece).map(encode).collect()
-}
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -31,7 +31,7 @@
 mod stream;
 
 pub use call::{Answer, AnswerBody, Call, ProgramTag, PromptShape};
-pub use chains::{Chains, Turn};
+pub use chains::{Chains, Found, ShardTurns, Turn, pieces};
 pub use directory::{Directions, directions};
 pub use entry::{Entry, Parts, Phase};
 pub use events::{Event, EventBuffer, TooLarge};
--- a/crates/rosethread_entry/tests/chains.rs
+++ b/crates/rosethread_entry/tests/chains.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rosethread_entry::{Chains, Turn};
+use rosethread_entry::{Chains, Found, ShardTurns, Turn, pieces};
 
 fn turn(id: &str, previous: Option<&str>, input: &str, output: &str) -> Turn {
     Turn {
@@ -47,3 +47,68 @@
     chains.expire(Duration::from_secs(30), age);
     assert_eq!(chains.size(), (0, 0));
 }
+
+/// The age from which turns without use are forgotten.
+const AGE: Duration = Duration::from_secs(120);
+
+/// The records of a chain of which each turn was written 50 s after the one before.
+fn records() -> Vec<(Duration, bytes::Bytes)> {
+    let chain = [("a", None), ("b", Some("a")), ("c", Some("b")), ("d", Some("c"))];
+    let times = (0..).step_by(50).map(Duration::from_secs);
+    let written = chain.into_iter().zip(times);
+    let pieces = written.flat_map(|((id, previous), time)| {
+        let turn = turn(id, previous, id, "\n");
+        pieces(&turn, 135).into_iter().map(move |it| (time, it))
+    });
+    pieces.collect()
+}
+
+/// Reads what is in the log at `now` and has not been read.
+fn read_on(turns: &mut ShardTurns, now: Duration) {
+    let written = records().into_iter().enumerate().filter(|(_, (time, _))| *time <= now);
+    for (offset, (_, data)) in written.skip(turns.next() as usize) {
+        turns.take(offset as u64, &data, now).unwrap();
+    }
+}
+
+/// Looks for a turn at a host that has read the log at these times, tidied up at the last of them,
+/// and reads the log again if that may help.
+fn check_find(read_at_s: &[u64], id: &str, expected: Option<&str>) {
+    let mut turns = ShardTurns::default();
+    let mut now = Duration::ZERO;
+    for time in read_at_s {
+        now = Duration::from_secs(*time);
+        read_on(&mut turns, now);
+    }
+    turns.expire(now, AGE);
+    let id = id.parse().unwrap();
+    let mut found = turns.find(&id, now);
+    let mut restarts = 0;
+    while !matches!(found, Found::Text(_)) && turns.restart() {
+        restarts += 1;
+        assert!(restarts < 2, "the partition is read without end");
+        read_on(&mut turns, now);
+        found = turns.find(&id, now);
+    }
+    let text = expected.map(|it| Found::Text(it.to_owned().into()));
+    assert_eq!(found, text.unwrap_or(Found::Nothing));
+}
+
+rosethread_cases::cases!(check_find {
+    // Guards against LOST: a host forgot turns that others went on from, and said that there was
+    // no turn that was answered a moment ago.
+    a_turn_whose_ancestors_were_forgotten_is_found: (&[0, 160], "d", Some("a\nb\nc\nd\n"));
+    // Guards against LOST: a host said of a turn that it had forgotten that it never was.
+    a_forgotten_turn_is_found: (&[0, 160], "a", Some("a\n"));
+    // Guards against reading a partition without end for a turn that never was.
+    a_turn_that_never_was_is_not_found: (&[0, 160], "never", None);
+});
+
+/// A chain whose begin the log has dropped.
+#[test]
+fn a_turn_without_its_ancestors_is_not_said_to_be_unknown() {
+    let mut turns = ShardTurns::default();
+    turns.keep(turn("b", Some("a"), "B", "b\n"), Duration::ZERO);
+    assert_eq!(turns.find(&"b".parse().unwrap(), Duration::ZERO), Found::Gap);
+    assert_eq!(turns.find(&"a".parse().unwrap(), Duration::ZERO), Found::Nothing);
+}
