Tokens are returned though their turn ended before the grant

Cause: a release that is overtaken by, or sent elsewhere than, the acquisition it belongs to.

- A request that waits at the owner behind a claim or a record is not cancelled when its caller leaves.
The turn's end found no shard or no grant and was answered as done; the grant came afterwards and nobody returned it.
- The end was told to whoever was believed the owner by then.

Change: the asking host remembers which hosts it asked for a turn, and tells each of them and the present owner of its end. Check and grant are one step under the lock under which ends are noted, so no grant slips in between. Grants carry a number of their own, since a retry may carry its call's identifier: the end of one try neither refuses its retry nor returns what the retry holds. An end counts once at each host, however often it is told.

The end of a turn that a host neither granted nor knew is logged at info.

Not changed: two tries of one call that run at the same time share one grant, as before, so that together they may use more than it.

--- a/crates/rosethread_entry/src/call/job.rs
+++ b/crates/rosethread_entry/src/call/job.rs
@@ -15,8 +15,9 @@
     call::{Call, ProgramTag, Tries},
     choose::crowd,
     entry::Entry,
-    grants, history,
-    ledger::{Ask, Settlement, Verdict},
+    grants::{self, Asked},
+    history,
+    ledger::{Ask, GrantId, Settlement, Verdict},
     routes::{Route, Routes},
     shards::shard_of,
 };
@@ -250,10 +251,11 @@
         request: call.id.clone(),
         budget,
         tokens: prompt.output,
+        grant: GrantId(entry.random.bits()),
     };
     // The grant is returned if the caller leaves while the owner decides.
     let grant = Grant::new(entry, shard, tag, &ask);
-    match grants::ask(entry, shard, &ask, deadline).await {
+    match grants::ask(entry, shard, &ask, &grant.asked, deadline).await {
         Ok(Verdict::Granted { home, underway }) => {
             Ok(Admitted { grant: Some(grant), home, underway })
         }
@@ -290,6 +292,7 @@
     shard: u32,
     ask: Ask,
     tokens: Tokens,
+    asked: Asked,
     used: AtomicU64,
     visited: Mutex<Visited>,
 }
@@ -302,6 +305,7 @@
             shard,
             ask: ask.clone(),
             tokens: ask.tokens,
+            asked: Asked::default(),
             used: AtomicU64::new(0),
             visited: Mutex::default(),
         }
@@ -326,7 +330,8 @@
             used: self.used(),
             target: ran,
             failed,
+            grant: self.ask.grant,
         };
-        grants::report(&self.entry, self.shard, settlement);
+        grants::report(&self.entry, self.shard, &self.asked, settlement);
     }
 }
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -2,10 +2,11 @@
 
 use std::{
     collections::{BTreeSet, VecDeque},
-    sync::Arc,
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
+use futures::future::join_all;
 use rosethread_types::{NodeName, Reason, Refusal};
 use slog::{debug, info, warn};
 use tokio::time::{Instant, sleep, timeout};
@@ -13,7 +14,7 @@
 use crate::{
     entry::Entry,
     ledger::{Ask, Settlement, Verdict},
-    peers::{PeerReply, PeerRequest},
+    peers::{PeerError, PeerReply, PeerRequest},
     shards::{self, NotOwned, Shard, candidates_for, responsible_for},
 };
 
@@ -29,20 +30,31 @@
 /// What a caller is told to wait when no owner could decide.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// How often the end of a turn is told to the owner.
+/// How often the end of a turn is told to a host.
 const SETTLE_TRIES: u32 = 4;
 
+/// The hosts that were asked for one turn's tokens, each of which may grant them yet.
+#[derive(Debug, Default)]
+pub(crate) struct Asked(Mutex<BTreeSet<NodeName>>);
+
+impl Asked {
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<NodeName>> {
+        self.0.lock().expect("no holder of the asked hosts panics")
+    }
+}
+
 /// Asks for tokens, here or at the owner, until `deadline`.
 pub(crate) async fn ask(
     entry: &Arc<Entry>,
     shard: u32,
     ask: &Ask,
+    asked: &Asked,
     deadline: Instant,
 ) -> Result<Verdict, Refusal> {
     let started = Instant::now();
     let until = deadline.min(started + GRANT_TIME);
     loop {
-        let reason = match ask_once(entry, shard, ask).await {
+        let reason = match ask_once(entry, shard, ask, asked).await {
             Ok(verdict) => {
                 entry.metrics.grant_seconds.observe(started.elapsed().as_secs_f64());
                 entry.metrics.verdicts.with_label_values(&[label(&verdict)]).inc();
@@ -69,11 +81,16 @@
 }
 
 /// Asks the node that decided last, then those that may be responsible, and whom they name.
-async fn ask_once(entry: &Arc<Entry>, shard: u32, ask: &Ask) -> Result<Verdict, String> {
+async fn ask_once(
+    entry: &Arc<Entry>,
+    shard: u32,
+    ask: &Ask,
+    asked: &Asked,
+) -> Result<Verdict, String> {
     let last = entry.shards.last_owner(shard).filter(|it| entry.view().is_running(it));
     let mut nodes: VecDeque<NodeName> = last.into_iter().collect();
     let mut has_candidates = false;
-    let mut asked = BTreeSet::new();
+    let mut tried = BTreeSet::new();
     let mut reasons = Vec::new();
     loop {
         // They are worked out from all hosts, so only when the last owner does not decide.
@@ -83,9 +100,10 @@
         let Some(owner) = nodes.pop_front() else {
             break;
         };
-        if !asked.insert(owner.clone()) {
+        if !tried.insert(owner.clone()) {
             continue;
         }
+        asked.lock().insert(owner.clone());
         match ask_owner(entry, shard, &owner, ask).await {
             Ok(verdict) => {
                 entry.shards.set_owner(shard, Some(owner));
@@ -130,7 +148,13 @@
     let shard = shards::own(entry, index).await?;
     let unable = |detail: String| NotOwned { owner: None, detail };
     loop {
-        let verdict = shard.ledger().ask(ask, entry.now());
+        let verdict = {
+            let ended = entry.shards.ended();
+            if ended.get(&index).is_some_and(|it| it.contains(ask.grant)) {
+                return Err(unable("the turn has ended".to_owned()));
+            }
+            shard.ledger().ask(ask, entry.now())
+        };
         match verdict {
             Verdict::Record(ceiling) => record(&shard, ask, ceiling).await.map_err(unable)?,
             Verdict::Granted { .. } => {
@@ -194,44 +218,72 @@
     });
 }
 
-/// Takes note of a turn's end, as the owner.
+/// Takes note of a turn's end, as the owner or as a host that was asked for its tokens.
 pub(crate) fn settle(entry: &Entry, index: u32, settlement: &Settlement) {
-    match entry.shards.get(index) {
-        Some(shard) => shard.ledger().settle(settlement, entry.now()),
-        None => debug!(entry.logger, "grants: a turn ended under another owner";
-            "program" => %settlement.program, "request" => %settlement.request),
+    let now = entry.now();
+    let (is_new, is_held) = {
+        let mut ended = entry.shards.ended();
+        let is_new = ended.entry(index).or_default().insert(settlement.grant, now);
+        // An end that is told again, since its answer was lost, counts once.
+        let shard = entry.shards.get(index).filter(|_| is_new);
+        (is_new, shard.is_some_and(|it| it.ledger().settle(settlement, now)))
+    };
+    if is_new && !is_held {
+        info!(entry.logger, "grants: a turn ended under another owner"; "shard" => index,
+            "program" => %settlement.program, "id" => %settlement.request,
+            "used" => settlement.used);
     }
 }
 
-/// Tells the owner how a turn ended, without waiting for it.
+/// Tells the owner and all hosts that were asked how a turn ended, without waiting for them.
 ///
 /// An owner that never hears of it counts the grant in full.
-pub(crate) fn report(entry: &Arc<Entry>, shard: u32, settlement: Settlement) {
-    let entry = entry.clone();
+pub(crate) fn report(entry: &Arc<Entry>, shard: u32, asked: &Asked, settlement: Settlement) {
+    let (entry, mut hosts) = (entry.clone(), asked.lock().clone());
     entry.tasks.clone().spawn(async move {
+        let mut told = BTreeSet::new();
         for attempt in 0..SETTLE_TRIES {
+            // The shard may have passed to another host since the last try.
             let last = entry.shards.last_owner(shard);
-            let Some(owner) = last.or_else(|| responsible_for(&entry, shard)) else {
-                return;
-            };
-            if owner == entry.settings.node {
-                settle(&entry, shard, &settlement);
-                return;
+            hosts.extend(last.or_else(|| responsible_for(&entry, shard)));
+            let untold: Vec<NodeName> = hosts.difference(&told).cloned().collect();
+            let results = join_all(untold.iter().map(|it| tell(&entry, shard, it, &settlement)));
+            let mut is_done = true;
+            for (host, result) in untold.iter().zip(results.await) {
+                match result {
+                    Ok(()) => drop(told.insert(host.clone())),
+                    Err(error) if attempt + 1 == SETTLE_TRIES => {
+                        warn!(entry.logger, "grants: a host was not told of a turn's end";
+                            "program" => %settlement.program, "id" => %settlement.request,
+                            "host" => %host, "error" => %error);
+                    }
+                    Err(_) => is_done = false,
+                }
             }
-            let contact = entry.view().get(&owner).map(|it| it.contact.peer);
-            let Some(contact) = contact else {
+            if is_done {
                 return;
-            };
-            let request = PeerRequest::Settle { shard, settlement: settlement.clone() };
-            match entry.peers.ask(contact, request).await {
-                Ok(_) => return,
-                Err(error) if attempt + 1 == SETTLE_TRIES => {
-                    warn!(entry.logger, "grants: the owner was not told of a turn's end";
-                        "program" => %settlement.program, "request" => %settlement.request,
-                        "owner" => %owner, "error" => %error);
-                }
-                Err(_) => sleep(ASK_AGAIN * (attempt + 1)).await,
             }
+            sleep(ASK_AGAIN * (attempt + 1)).await;
         }
     });
 }
+
+/// Tells one host how a turn ended; one that is no longer known need not hear of it.
+async fn tell(
+    entry: &Entry,
+    shard: u32,
+    host: &NodeName,
+    settlement: &Settlement,
+) -> Result<(), PeerError> {
+    if *host == entry.settings.node {
+        settle(entry, shard, settlement);
+        return Ok(());
+    }
+    let Some(contact) = entry.view().get(host).map(|it| it.contact.peer) else {
+        debug!(entry.logger, "grants: a turn ended whose owner is not known any more";
+            "host" => %host, "program" => %settlement.program, "id" => %settlement.request);
+        return Ok(());
+    };
+    let request = PeerRequest::Settle { shard, settlement: settlement.clone() };
+    entry.peers.ask(contact, request).await.map(drop)
+}
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -32,6 +32,10 @@
 /// How long after its last failure such a target is no home.
 const FAILED_AGE: Duration = Duration::from_millis(1_000);
 
+/// What one host asks for on behalf of one call; a retry of the call asks for another grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct GrantId(pub u64);
+
 /// A turn that asks for tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -45,6 +49,8 @@
     pub budget: Tokens,
     /// The most tokens that the turn may generate.
     pub tokens: Tokens,
+    /// The grant, however often it is asked for.
+    pub grant: GrantId,
 }
 
 /// The owner's answer to an [`Ask`].
@@ -83,6 +89,8 @@
     pub target: Option<TargetName>,
     /// The last target that failed the turn, if one did.
     pub failed: Option<TargetName>,
+    /// The grant that ends.
+    pub grant: GrantId,
 }
 
 /// What a shard's log says about accounts and their owners.
@@ -124,6 +132,14 @@
     },
 }
 
+/// Tokens that a turn under way holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Hold {
+    tokens: Tokens,
+    /// The last grant under which the call asked; its end returns the tokens.
+    grant: GrantId,
+}
+
 /// The account of one program.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Account {
@@ -133,7 +149,7 @@
     /// What earlier owners may have granted beyond `spent`.
     uncertain: Tokens,
     /// Grants of turns under way.
-    open: BTreeMap<RequestId, Tokens>,
+    open: BTreeMap<RequestId, Hold>,
     /// What may be granted in all, by record or by the unrecorded part.
     ceiling: Tokens,
     /// A higher ceiling whose record has been submitted.
@@ -148,8 +164,12 @@
 }
 
 impl Account {
+    fn held(&self) -> Tokens {
+        self.open.values().map(|it| it.tokens).sum()
+    }
+
     fn committed(&self) -> Tokens {
-        self.spent + self.uncertain + self.open.values().sum::<Tokens>()
+        self.spent + self.uncertain + self.held()
     }
 
     /// Returns what may be committed in all when a turn asks for `turn` tokens.
@@ -218,7 +238,7 @@
         let balance = |it: &Account| Balance {
             spent: it.spent,
             uncertain: it.uncertain,
-            open: it.open.values().sum(),
+            open: it.held(),
             turns: it.open.len(),
             ceiling: it.ceiling,
         };
@@ -265,7 +285,8 @@
         let home = account.homes.get(&ask.session).or(account.last_home.as_ref());
         let home = home.filter(is_sound).cloned();
         let underway = account.is_underway;
-        if account.open.contains_key(&ask.request) {
+        if let Some(hold) = account.open.get_mut(&ask.request) {
+            hold.grant = ask.grant;
             return Verdict::Granted { home, underway };
         }
         let needed = account.committed() + ask.tokens;
@@ -277,7 +298,8 @@
         if account.ceiling < needed {
             return Verdict::Record(needed);
         }
-        account.open.insert(ask.request.clone(), ask.tokens);
+        let hold = Hold { tokens: ask.tokens, grant: ask.grant };
+        account.open.insert(ask.request.clone(), hold);
         Verdict::Granted { home, underway }
     }
 
@@ -330,14 +352,20 @@
     }
 
     /// Takes note of how a turn ended. Its grant is returned but for what was used.
-    pub fn settle(&mut self, settlement: &Settlement, now: Duration) {
+    ///
+    /// Returns whether the turn held tokens here.
+    pub fn settle(&mut self, settlement: &Settlement, now: Duration) -> bool {
         self.judge(settlement, now);
         let Some(account) = self.accounts.get_mut(&settlement.program) else {
-            return;
+            return false;
         };
         account.used = now;
-        if account.open.remove(&settlement.request).is_none() {
-            return;
+        let Some(hold) = account.open.get(&settlement.request) else {
+            return false;
+        };
+        // A retry of the call that has begun since then goes on with the tokens.
+        if hold.grant == settlement.grant {
+            account.open.remove(&settlement.request);
         }
         account.spent += settlement.used;
         account.is_underway |= settlement.used != 0;
@@ -353,6 +381,7 @@
             }
             account.last_home = Some(target.clone());
         }
+        true
     }
 
     /// Takes note of whether targets ran or failed a turn.
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::{
+    ended::Ended,
     entry::{Entry, Phase},
     ledger::{Ledger, LedgerRecord},
     peers::{PeerReply, PeerRequest},
@@ -96,6 +97,8 @@
     claims: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<Claims>>>>,
     /// The nodes that decided last, to be asked first.
     owners: Mutex<BTreeMap<u32, NodeName>>,
+    /// Turns that have ended, of shards that this node owns and of others.
+    ended: Mutex<BTreeMap<u32, Ended>>,
 }
 
 impl Shards {
@@ -128,6 +131,14 @@
         };
     }
 
+    /// Returns the turns that have ended, by shard.
+    ///
+    /// Whoever grants or settles holds it meanwhile, so that no grant follows its turn's end; it is
+    /// locked before a ledger is.
+    pub(crate) fn ended(&self) -> MutexGuard<'_, BTreeMap<u32, Ended>> {
+        self.ended.lock().expect("no holder of the ended turns panics")
+    }
+
     fn claim_lock(&self, index: u32) -> Arc<tokio::sync::Mutex<Claims>> {
         let mut claims = self.claims.lock().expect("no holder of the claims panics");
         claims.entry(index).or_default().clone()
--- a/crates/rosethread_entry/tests/ledger.rs
+++ b/crates/rosethread_entry/tests/ledger.rs
@@ -1,12 +1,12 @@
 //! Budgets over any order of grants, crashes, late owners and handovers, against a plain list of
 //! what callers were handed.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use proptest::{prelude::*, test_runner::RngSeed};
 use proptest_state_machine::{StateMachineTest, prop_state_machine};
 use rosethread_cases::{AnyOrder, Steps};
-use rosethread_entry::{Ask, Ledger, LedgerRecord, Settlement, Verdict};
+use rosethread_entry::{Ask, Ended, GrantId, Ledger, LedgerRecord, Settlement, Verdict};
 use rosethread_types::Incarnation;
 
 /// The most tokens of one turn.
@@ -22,8 +22,16 @@
 enum Step {
     /// A turn asks an owner, which may be an old one that has not noticed.
     Ask { owner: usize, program: usize },
-    /// A turn under way ends after a share of its tokens, in percent; its owner hears of it or not.
-    End { turn: usize, share: u64, is_told: bool },
+    /// A turn under way ends after a share of its tokens, in percent; its owner hears of it or not,
+    /// and so does another one that was asked.
+    End { turn: usize, share: u64, is_told: bool, other: Option<usize> },
+    /// The caller of a turn leaves while the turn's request is on its way to an owner, which hears of
+    /// the end first.
+    Leave { owner: usize, program: usize },
+    /// The caller of a turn leaves while the turn waits for a record at an owner.
+    LeaveRecord { owner: usize, turn: usize },
+    /// A request reaches the owner to which it was sent, or reaches it once more.
+    Arrive { request: usize },
     /// An owner's queued records reach the log, unless a newer owner has claimed the shard.
     Flush { owner: usize },
     /// A new owner claims the shard.
@@ -43,8 +51,13 @@
         prop_oneof![
             10 => (0_usize..3, 0_usize..BUDGETS.len())
                 .prop_map(|(owner, program)| Step::Ask { owner, program }),
-            8 => (0_usize..8, 0_u64..=100, prop::bool::weighted(0.8))
-                .prop_map(|(turn, share, is_told)| Step::End { turn, share, is_told }),
+            8 => (0_usize..8, 0_u64..=100, prop::bool::weighted(0.8), prop::option::of(0_usize..3))
+                .prop_map(|(turn, share, is_told, other)| Step::End { turn, share, is_told, other }),
+            2 => (0_usize..3, 0_usize..BUDGETS.len())
+                .prop_map(|(owner, program)| Step::Leave { owner, program }),
+            2 => (0_usize..3, 0_usize..4)
+                .prop_map(|(owner, turn)| Step::LeaveRecord { owner, turn }),
+            4 => (0_usize..20).prop_map(|request| Step::Arrive { request }),
             6 => (0_usize..3).prop_map(|owner| Step::Flush { owner }),
             1 => Just(Step::Claim),
             1 => Just(Step::HandOver),
@@ -62,6 +75,9 @@
     /// The epoch of the claim from which its accounts come.
     claim: u64,
     ledger: Ledger,
+    ended: Ended,
+    /// Grants that the owner was asked for, and whose end it was not told, by program.
+    awaited: BTreeSet<(usize, GrantId)>,
     queued: Vec<LedgerRecord>,
     /// Turns that wait for a ceiling among the queued records.
     waiting: Vec<(usize, Ask, u64)>,
@@ -69,7 +85,7 @@
 
 /// A granted turn.
 struct Granted {
-    owner: u64,
+    owner: usize,
     program: usize,
     ask: Ask,
     /// What the caller was handed; nothing while the turn is under way.
@@ -83,6 +99,8 @@
     fence: u64,
     owners: Vec<Owner>,
     granted: Vec<Granted>,
+    /// Requests as they were sent, with the positions of owner and program.
+    sent: Vec<(usize, usize, Ask)>,
     asked: u32,
     /// Whether an owner had to go by records, since it does not know what was granted before.
     has_successor: bool,
@@ -107,6 +125,8 @@
             epoch,
             claim: epoch,
             ledger,
+            ended: Ended::default(),
+            awaited: BTreeSet::new(),
             queued: Vec::new(),
             waiting: Vec::new(),
         });
@@ -122,15 +142,45 @@
         self.owners.len() - 1 - back.min(self.owners.len() - 1)
     }
 
+    /// Returns a new turn's request to an owner, and the owner's position.
+    fn send(&mut self, back: usize, program: usize) -> (usize, Ask) {
+        self.asked += 1;
+        let ask = Ask {
+            program: format!("p{program}").parse().unwrap(),
+            session: "s".parse().unwrap(),
+            request: format!("r{}", self.asked).parse().unwrap(),
+            budget: budget(program),
+            tokens: TURN,
+            grant: GrantId(u64::from(self.asked)),
+        };
+        let owner = self.owner(back);
+        self.owners[owner].awaited.insert((program, ask.grant));
+        self.sent.push((owner, program, ask.clone()));
+        (owner, ask)
+    }
+
+    /// Tells an owner of a turn's end.
+    fn settle(&mut self, owner: usize, program: usize, settlement: &Settlement) {
+        let it = &mut self.owners[owner];
+        it.awaited.remove(&(program, settlement.grant));
+        it.ended.insert(settlement.grant, NOW);
+        it.ledger.settle(settlement, NOW);
+    }
+
     fn ask(&mut self, owner: usize, program: usize, ask: Ask) {
         let it = &mut self.owners[owner];
+        if it.ended.contains(ask.grant) {
+            return;
+        }
+        let was_granted = self.granted.iter().any(|it| it.ask.grant == ask.grant);
         match it.ledger.ask(&ask, NOW) {
             Verdict::Granted { .. } => {
                 if let Some(tokens) = it.ledger.ahead(&ask.program, TURN) {
                     it.queued.push(it.ledger.ceiling(&ask.program, tokens));
                 }
-                let owner = it.epoch;
-                self.granted.push(Granted { owner, program, ask, used: None });
+                if !was_granted {
+                    self.granted.push(Granted { owner, program, ask, used: None });
+                }
             }
             Verdict::Record(tokens) => {
                 it.queued.push(it.ledger.ceiling(&ask.program, tokens));
@@ -173,7 +223,7 @@
         turns.map(|it| it.used.unwrap_or(it.ask.tokens)).sum()
     }
 
-    fn end(&mut self, turn: usize, share: u64, is_told: bool) {
+    fn end(&mut self, turn: usize, share: u64, owners: impl FnOnce(&World, usize) -> Vec<usize>) {
         let open: Vec<usize> =
             (0..self.granted.len()).filter(|it| self.granted[*it].used.is_none()).collect();
         let Some(index) = open.get(turn % open.len().max(1)) else {
@@ -182,20 +232,34 @@
         let granted = &mut self.granted[*index];
         let used = granted.ask.tokens * share / 100;
         granted.used = Some(used);
-        let settlement = Settlement {
-            program: granted.ask.program.clone(),
-            session: granted.ask.session.clone(),
-            request: granted.ask.request.clone(),
-            used,
-            target: None,
-            failed: None,
-        };
-        let owner = granted.owner;
-        let owner = self.owners.iter_mut().find(|it| it.epoch == owner && is_told);
-        if let Some(owner) = owner {
-            owner.ledger.settle(&settlement, NOW);
+        let (owner, program) = (granted.owner, granted.program);
+        let settlement = settlement(&granted.ask, used);
+        for owner in owners(self, owner) {
+            self.settle(owner, program, &settlement);
         }
     }
+
+    /// Ends a turn that waits for a record, which it was never granted.
+    fn leave_record(&mut self, back: usize, turn: usize) {
+        let owner = self.owner(back);
+        let waiting = &self.owners[owner].waiting;
+        let Some((program, ask, _)) = waiting.get(turn % waiting.len().max(1)).cloned() else {
+            return;
+        };
+        self.settle(owner, program, &settlement(&ask, 0));
+    }
+}
+
+fn settlement(ask: &Ask, used: u64) -> Settlement {
+    Settlement {
+        program: ask.program.clone(),
+        session: ask.session.clone(),
+        request: ask.request.clone(),
+        used,
+        target: None,
+        failed: None,
+        grant: ask.grant,
+    }
 }
 
 struct Budgets;
@@ -213,18 +277,24 @@
     fn apply(mut world: World, _state: &(), step: Step) -> World {
         match step {
             Step::Ask { owner, program } => {
-                world.asked += 1;
-                let ask = Ask {
-                    program: format!("p{program}").parse().unwrap(),
-                    session: "s".parse().unwrap(),
-                    request: format!("r{}", world.asked).parse().unwrap(),
-                    budget: budget(program),
-                    tokens: TURN,
-                };
-                let owner = world.owner(owner);
+                let (owner, ask) = world.send(owner, program);
                 world.ask(owner, program, ask);
             }
-            Step::End { turn, share, is_told } => world.end(turn, share, is_told),
+            Step::End { turn, share, is_told, other } => world.end(turn, share, |world, owner| {
+                let other = other.map(|it| world.owner(it)).filter(|it| *it != owner);
+                is_told.then_some(owner).into_iter().chain(other).collect()
+            }),
+            Step::Leave { owner, program } => {
+                let (owner, ask) = world.send(owner, program);
+                world.settle(owner, program, &settlement(&ask, 0));
+            }
+            Step::LeaveRecord { owner, turn } => world.leave_record(owner, turn),
+            Step::Arrive { request } => {
+                let back = request % world.sent.len().max(1);
+                if let Some((owner, program, ask)) = world.sent.iter().rev().nth(back).cloned() {
+                    world.ask(owner, program, ask);
+                }
+            }
             Step::Flush { owner } => {
                 let owner = world.owner(owner);
                 world.flush(owner);
@@ -244,9 +314,16 @@
                 let ledger = world.owners[last].ledger.hand_on(NOW);
                 // An epoch of zero can write nothing: the log has seen a higher one.
                 let claim = world.owners[last].claim;
-                let owner =
-                    Owner { epoch: 0, claim, ledger, queued: Vec::new(), waiting: Vec::new() };
-                world.owners.push(owner);
+                let awaited = world.owners[last].awaited.clone();
+                world.owners.push(Owner {
+                    epoch: 0,
+                    claim,
+                    ledger,
+                    ended: Ended::default(),
+                    awaited,
+                    queued: Vec::new(),
+                    waiting: Vec::new(),
+                });
             }
             Step::Release => {
                 let last = world.owner(0);
@@ -264,6 +341,12 @@
             // What users allow to one that does not know.
             let slack = if world.has_successor { TURN } else { 0 };
             assert!(handed <= budget + slack, "program {program} got {handed} of {budget}");
+            let label = format!("p{program}").parse().unwrap();
+            for it in &world.owners {
+                let turns = it.awaited.iter().filter(|(of, _)| *of == program).count();
+                let held = it.ledger.balance(&label).turns;
+                assert!(held <= turns, "program {program}: {held} turns hold tokens of {turns}");
+            }
         }
     }
 }
@@ -296,13 +379,14 @@
             request: format!("r{turn}").parse().unwrap(),
             budget: turns * TURN,
             tokens: TURN,
+            grant: GrantId(turn),
         };
         world.ask(owner, program, ask);
         if has_log {
             world.flush(owner);
         }
         assert_eq!(world.granted.len() as u64, turn + 1, "turn {turn} was not granted");
-        world.end(0, 50, true);
+        world.end(0, 50, |_, owner| vec![owner]);
     }
 }
 
@@ -315,6 +399,36 @@
     a_new_program_finishes_under_a_successor: (3, 0, true);
 });
 
+/// A call asks under one grant after the other, and the grants end in the order of `ends`.
+fn check_retry(asks: &[u64], ends: &[u64], is_held: bool) {
+    let mut ledger = Ledger::default();
+    let ask = |grant: u64| Ask {
+        program: "p".parse().unwrap(),
+        session: "s".parse().unwrap(),
+        request: "r".parse().unwrap(),
+        budget: TURN,
+        tokens: TURN,
+        grant: GrantId(grant),
+    };
+    for grant in asks {
+        assert!(matches!(ledger.ask(&ask(*grant), NOW), Verdict::Granted { .. }));
+    }
+    for grant in ends {
+        ledger.settle(&settlement(&ask(*grant), 0), NOW);
+    }
+    let balance = ledger.balance(&"p".parse().unwrap());
+    assert_eq!(balance.open, if is_held { TURN } else { 0 });
+}
+
+rosethread_cases::cases!(check_retry {
+    a_turn_that_asks_twice_holds_its_tokens_once: (&[1, 1], &[], true);
+    a_turn_that_asked_twice_returns_its_tokens: (&[1, 1], &[1], false);
+    // Guards against tokens without an account: the end of a try returned those of its retry.
+    a_retry_keeps_its_tokens_when_the_earlier_try_ends: (&[1, 2], &[1], true);
+    a_retry_returns_its_tokens: (&[1, 2], &[1, 2], false);
+    the_end_of_a_try_that_held_nothing_returns_nothing: (&[1], &[2], true);
+});
+
 /// What becomes of one turn after the other: the program, the target, and whether it failed there.
 fn check_home(turns: &[(&str, &str, bool)], asks_at_ms: u64, expected: Option<&str>) {
     let mut ledger = Ledger::default();
@@ -324,6 +438,7 @@
         request: format!("r{index}").parse().unwrap(),
         budget: 100,
         tokens: 1,
+        grant: GrantId(index as u64),
     };
     for (index, (program, target, has_failed)) in turns.iter().enumerate() {
         let ask = turn(index, program);
@@ -337,6 +452,7 @@
             used: 0,
             target: ran,
             failed,
+            grant: ask.grant,
         };
         ledger.settle(&settlement, NOW);
     }
