A keeper that is slow is asked again, not passed by

The change let a host read the log itself where the shard's keeper does not reply within 600 ms. Keepers that are only slow, as hosts with an eighth of a core are in a burst, were passed by as well, and many hosts read whole partitions.

So only a keeper that says that it cannot read is passed by.

--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -181,19 +181,18 @@
         return chain_here(entry, shard, turn).await;
     };
     let request = PeerRequest::Chain { shard, turn: turn.clone() };
-    let why = match entry.peers.ask(contact, request).await {
-        Ok(PeerReply::Unable(reason)) => reason,
-        Ok(reply) => return reply,
+    match entry.peers.ask(contact, request).await {
+        Ok(PeerReply::Unable(why)) if entry.has_log() => {
+            info!(entry.logger, "history: the keeper cannot tell, so this host looks";
+                "shard" => shard, "keeper" => %contact, "turn" => %turn, "why" => why);
+            chain_here(entry, shard, turn).await
+        }
+        Ok(reply) => reply,
         // The log knows as much as the host that cannot be reached.
-        Err(PeerError::Unreachable(_)) => return chain_here(entry, shard, turn).await,
-        Err(error @ PeerError::TimedOut) => error.to_string(),
-    };
-    if !entry.has_log() {
-        return PeerReply::Unable(why);
+        Err(PeerError::Unreachable(_)) => chain_here(entry, shard, turn).await,
+        // A host that is slow may be reading the log just now; another reader would slow it more.
+        Err(error @ PeerError::TimedOut) => PeerReply::Unable(error.to_string()),
     }
-    info!(entry.logger, "history: the keeper cannot tell, so this host looks"; "shard" => shard,
-        "keeper" => %contact, "turn" => %turn, "why" => why);
-    chain_here(entry, shard, turn).await
 }
 
 /// Returns everything that was said up to `turn`, from memory or from the log.
