--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -2,8 +2,8 @@
 //!
 //! A shard is claimed when its first turn arrives at the host that is responsible for it. The
 //! claim takes a higher epoch, after which the log refuses the former owner, and then reads all
-//! that was recorded. A former owner that still runs is asked to settle first, so that the
-//! successor's accounts are exact. See `docs/design/platform.md`.
+//! that was recorded. The host that the log names is asked first: it keeps the shard if it owns it,
+//! and hands its accounts over if it cannot do its work. See `docs/design/platform.md`.
 
 mod claim;
 mod writer;
@@ -26,6 +26,7 @@
 };
 
 use crate::{
+    ended::Ended,
     entry::{Entry, Phase},
     ledger::{Ledger, LedgerRecord},
     peers::{PeerReply, PeerRequest},
@@ -94,10 +95,15 @@
 pub(crate) struct Shards {
     owned: Mutex<BTreeMap<u32, Arc<Shard>>>,
     claims: Mutex<BTreeMap<u32, Arc<tokio::sync::Mutex<Claims>>>>,
+    /// The accounts of shards that this node has given up, until it owns them again. Whoever asked for
+    /// them may not have heard them, or may have failed to claim the shard.
+    yielded: Mutex<BTreeMap<u32, Yielded>>,
     /// The shards that this node is claiming.
     claiming: Mutex<BTreeSet<u32>>,
     /// The nodes that decided last, to be asked first.
     owners: Mutex<BTreeMap<u32, NodeName>>,
+    /// Turns that have ended, of shards that this node owns and of others.
+    ended: Mutex<BTreeMap<u32, Ended>>,
 }
 
 impl Shards {
@@ -105,6 +111,16 @@
         self.owned.lock().expect("no holder of the shards panics")
     }
 
+    /// Takes note that this node owns a shard.
+    fn insert(&self, index: u32, shard: Arc<Shard>) {
+        self.owned().insert(index, shard);
+        self.yielded().remove(&index);
+    }
+
+    fn yielded(&self) -> MutexGuard<'_, BTreeMap<u32, Yielded>> {
+        self.yielded.lock().expect("no holder of the yielded accounts panics")
+    }
+
     /// Returns the shard if this node owns it.
     pub(crate) fn get(&self, index: u32) -> Option<Arc<Shard>> {
         self.owned().get(&index).filter(|it| !it.is_lost()).cloned()
@@ -139,6 +155,14 @@
         self.claiming.lock().expect("no holder of the claimed shards panics")
     }
 
+    /// Returns the turns that have ended, by shard.
+    ///
+    /// Whoever grants or settles holds it meanwhile, so that no grant follows its turn's end; it is
+    /// locked before a ledger is.
+    pub(crate) fn ended(&self) -> MutexGuard<'_, BTreeMap<u32, Ended>> {
+        self.ended.lock().expect("no holder of the ended turns panics")
+    }
+
     fn claim_lock(&self, index: u32) -> Arc<tokio::sync::Mutex<Claims>> {
         let mut claims = self.claims.lock().expect("no holder of the claims panics");
         claims.entry(index).or_default().clone()
@@ -200,32 +224,37 @@
 }
 
 /// Returns the shard, claiming it first if this node is responsible for it.
+///
+/// A claim goes on if the caller stops waiting.
 pub(crate) async fn own(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, NotOwned> {
     let usable = || entry.shards.get(index).filter(|it| it.writer.is_some() || !entry.has_log());
     if let Some(shard) = usable() {
         return Ok(shard);
     }
-    if Phase::Serving < entry.phase() {
-        let owner = entry.shards.last_owner(index);
-        return Err(NotOwned { owner, detail: "this node is stopping".to_owned() });
-    }
     let lock = entry.shards.claim_lock(index);
     let claims = lock.lock_owned().await;
     if let Some(shard) = usable() {
         return Ok(shard);
     }
-    if !candidates_for(entry, index).contains(&entry.settings.node) {
+    if Phase::Serving < entry.phase() {
+        let owner = entry.shards.last_owner(index);
+        return Err(NotOwned { owner, detail: "this node is stopping".to_owned() });
+    }
+    let candidates = candidates_for(entry, index);
+    if !candidates.contains(&entry.settings.node) {
+        // Views differ for a while after many hosts have started, so the asker may not know it.
+        let owner = candidates.into_iter().next();
         let detail = format!("this node is not responsible for shard {index}");
-        return Err(NotOwned { owner: None, detail });
+        return Err(NotOwned { owner, detail });
     }
     if let Some(error) = claims.pause() {
         return Err(error);
     }
     let (sender, receiver) = oneshot::channel();
-    let claiming = claim_now(entry.clone(), index, claims);
+    let claim = claim_now(entry.clone(), index, claims);
     entry.tasks.spawn(async move {
         // Whoever waited may have gone, and the shard is owned all the same.
-        let _ = sender.send(claiming.await);
+        let _ = sender.send(claim.await);
     });
     receiver.await.unwrap_or_else(|_| {
         let detail = "this node ended during the claim".to_owned();
@@ -235,19 +264,22 @@
 
 /// Claims a shard, and takes note of it or of why it was not claimed.
 ///
-/// It runs in a task of its own: the turn that begins a claim may be given up by its caller, and a
-/// claim that ends with it would leave the log with an owner that does not own the shard.
+/// Runs in a task of its own, so that a caller that leaves does not end the claim half-way.
 async fn claim_now(
     entry: Arc<Entry>,
     index: u32,
     mut claims: OwnedMutexGuard<Claims>,
 ) -> Result<Arc<Shard>, NotOwned> {
-    // It ends when the shard is among those that are owned, so that no claimant finds neither.
+    // Dropped after the shard is in `owned`, so `answer_claimant` always sees one of the two.
     let _claiming = Claiming::start(&entry, index);
     match claim::claim(&entry, index).await {
         Ok(shard) => {
-            entry.shards.owned().insert(index, shard.clone());
+            entry.shards.insert(index, shard.clone());
             entry.metrics.claims.inc();
+            if Phase::Serving < entry.phase() {
+                // The drain has handed over the shards that were owned before.
+                release(&entry, index).await;
+            }
             Ok(shard)
         }
         Err(error) => {
@@ -276,9 +308,10 @@
 /// Answers another host that wants to claim a shard: an owner that can do its work stays, and so
 /// does one whose claim is under way, since its claim may just have been written.
 pub(crate) fn answer_claimant(entry: &Entry, index: u32) -> PeerReply {
-    let shard = entry.shards.get(index);
     let is_working = entry.phase() == Phase::Serving && entry.has_log();
-    let owns = shard.is_some_and(|it| it.writer.is_some()) || entry.shards.is_claiming(index);
+    // A claim that ends just now has put its shard among those that are owned before.
+    let owns = entry.shards.is_claiming(index)
+        || entry.shards.get(index).is_some_and(|it| it.writer.is_some());
     if is_working && owns {
         return PeerReply::OwnedBy(entry.settings.node.clone());
     }
@@ -294,12 +327,18 @@
     pub records: Vec<LedgerRecord>,
 }
 
-/// Stops granting for a shard, and returns what its successor has to know.
+/// Stops granting for a shard, and returns what its successor has to know, each time it is asked.
+///
+/// The accounts are exact for as long as no other host has claimed the shard, which the claimant
+/// knows by their epoch.
 pub(crate) fn give_up(entry: &Entry, index: u32) -> Option<Yielded> {
-    let shard = entry.shards.owned().remove(&index)?;
-    let is_lost = shard.is_lost.swap(true, Ordering::Relaxed);
-    info!(entry.logger, "shards: given up"; "shard" => index, "was_lost" => is_lost);
-    (!is_lost).then(|| Yielded { epoch: shard.epoch, records: shard.ledger().release(shard.epoch) })
+    if let Some(shard) = entry.shards.owned().remove(&index) {
+        let is_lost = shard.is_lost.swap(true, Ordering::Relaxed);
+        info!(entry.logger, "shards: given up"; "shard" => index, "was_lost" => is_lost);
+        let records = shard.ledger().release(shard.epoch);
+        entry.shards.yielded().insert(index, Yielded { epoch: shard.epoch, records });
+    }
+    entry.shards.yielded().get(&index).cloned()
 }
 
 fn encode(record: &LedgerRecord) -> Bytes {
@@ -336,14 +375,14 @@
 /// Accounts from an earlier claim than this node's own are dropped: they are out of date here.
 pub(crate) fn take_on(entry: &Entry, index: u32, epoch: u64, mut ledger: Ledger) {
     ledger.take_on(entry.now());
-    let mut owned = entry.shards.owned();
-    let is_newer = owned.get(&index).is_none_or(|it| it.is_lost() && it.epoch <= epoch);
+    let old = entry.shards.owned().get(&index).cloned();
+    let is_newer = old.is_none_or(|it| it.is_lost() && it.epoch <= epoch);
     info!(entry.logger, "shards: taken on"; "shard" => index, "epoch" => epoch,
         "programs" => ledger.len(), "kept" => is_newer);
     if is_newer {
         let ledger = Mutex::new(ledger);
         let shard = Shard { epoch, ledger, writer: None, is_lost: Arc::default() };
-        owned.insert(index, Arc::new(shard));
+        entry.shards.insert(index, Arc::new(shard));
     }
 }
 
