--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -228,7 +228,8 @@
         let shard = entry.shards.get(index).filter(|_| is_new);
         (is_new, shard.is_some_and(|it| it.ledger().settle(settlement, now)))
     };
-    if is_new && !is_held {
+    // A turn that was refused holds nothing and has used nothing, which is no news.
+    if is_new && !is_held && settlement.used != 0 {
         info!(entry.logger, "grants: a turn ended under another owner"; "shard" => index,
             "program" => %settlement.program, "id" => %settlement.request,
             "used" => settlement.used);
