--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -309,7 +309,7 @@
 /// does one whose claim is under way, since its claim may just have been written.
 pub(crate) fn answer_claimant(entry: &Entry, index: u32) -> PeerReply {
     let is_working = entry.phase() == Phase::Serving && entry.has_log();
-    // A claim that ends just now has put its shard among those that are owned before.
+    // A claim's mark is dropped after its shard is in `owned`, so it has to be looked at first.
     let owns = entry.shards.is_claiming(index)
         || entry.shards.get(index).is_some_and(|it| it.writer.is_some());
     if is_working && owns {
