Send no new calls to a target that says in a response that it is leaving

The platform's pages have a new header: a server that leaves says so in all its answers. Nothing read it; a host went by the registry, which may say ready for longer, or again.

The registry keeps the statement for the run of the target that made it, over removals and newer registrations, until a run with a later start registers.

Weighed: to tell other hosts. A peer that adopted the status would go by one host's word over the registration; it finds out with its own first answer, while the target still completes its requests.

--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::{
     call::{PreparedCall, uncertain_refusal},
     choose::{Estimate, select_target},
+    control::exclude_leaving,
     load::InFlightRequest,
     ports::{SendError, TargetRequest, TargetResponse},
     registry::Target,
@@ -126,8 +127,11 @@
             rank: prepared.rank,
             max_connections: choice.max_connections,
         };
-        let result = timeout_at(prepared.deadline, entry.upstream.send(&target, request)).await;
-        let error = match result {
+        let sent = timeout_at(prepared.deadline, entry.upstream.send(&target, request)).await;
+        if sent.as_ref().is_ok_and(|it| it.is_leaving) {
+            exclude_leaving(entry, &target);
+        }
+        let error = match sent.map(|it| it.result) {
             Ok(Ok(response)) if should_retry(prepared, attempts, &response) => {
                 in_flight.record_failure(entry.now());
                 entry.metrics.sends.with_label_values(&["failed"]).inc();
--- a/crates/rosethread_entry/src/control.rs
+++ b/crates/rosethread_entry/src/control.rs
@@ -17,7 +17,7 @@
 
 use crate::entry::Entry;
 
-pub(crate) use targets::targets_reply;
+pub(crate) use targets::{exclude_leaving, targets_reply};
 
 /// The period of the failure detector's probes.
 const PROBE_PERIOD: Duration = Duration::from_millis(200);
--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -110,13 +110,27 @@
     }
 }
 
+/// Excludes a target from new calls because it said in a response that it is leaving.
+pub(crate) fn exclude_leaving(entry: &Entry, target: &Target) {
+    let is_new = {
+        let mut registry = entry.registry.lock().expect("the lock is not poisoned");
+        registry.record_leaving(&target.name, target.start, entry.now())
+    };
+    if is_new {
+        info!(entry.logger, "targets: a target says that it is leaving"; "target" => %target.name,
+            "start" => target.start.0, "registered" => ?target.status);
+        entry.metrics.leaving_targets.inc();
+        publish_targets(entry, &[]);
+    }
+}
+
 /// Returns the reply to a peer that does not reach the store and asks for this host's targets.
 pub(crate) fn targets_reply(entry: &Entry) -> PeerReply {
-    let age = entry.registry.lock().expect("the lock is not poisoned").listing_age(entry.now());
-    let Some(age) = age else {
+    let registry = entry.registry.lock().expect("the lock is not poisoned");
+    let Some(age) = registry.listing_age(entry.now()) else {
         return PeerReply::Unable("this host has no target list yet".to_owned());
     };
-    let targets: Vec<Target> = entry.targets().values().cloned().collect();
+    let targets: Vec<Target> = registry.registered().into_values().collect();
     PeerReply::Targets { targets, age_ms: age.as_millis() as u64 }
 }
 
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -46,6 +46,8 @@
     pub revision: IntGauge,
     /// Number of known targets, with those that are kept although their registration is missing.
     pub targets: IntGauge,
+    /// Number of targets that said in a response that they are leaving.
+    pub leaving_targets: IntCounter,
     /// Number of nodes that the membership protocol considers alive, with this one.
     pub nodes: IntGauge,
 }
@@ -112,6 +114,10 @@
             turn_bytes: gauge("rosethread_entry_turn_bytes", "Bytes of kept turns."),
             revision: gauge("rosethread_entry_revision", "The routes' revision in force."),
             targets: gauge("rosethread_entry_targets", "Targets known."),
+            leaving_targets: counter(
+                "rosethread_entry_leaving_targets_total",
+                "Targets that said in a response that they are leaving.",
+            ),
             nodes: gauge("rosethread_entry_nodes", "Nodes believed to be alive."),
             registry,
         }
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -102,17 +102,21 @@
     pub body: BodyStream,
 }
 
+/// The result of a send, and what the target said of itself on that occasion.
+pub struct SendReply {
+    /// The target's response, or why it gave no usable one.
+    pub result: Result<TargetResponse, SendError>,
+    /// Whether the target said that it is leaving. A rejection or an error can say so as well.
+    pub is_leaving: bool,
+}
+
 /// The client that sends requests to targets.
 #[async_trait]
 pub trait Upstream: Send + Sync {
     /// Sends a request and waits for the status and headers of the response.
     ///
     /// Dropping the future cancels the request at the target.
-    async fn send(
-        &self,
-        target: &Target,
-        request: TargetRequest<'_>,
-    ) -> Result<TargetResponse, SendError>;
+    async fn send(&self, target: &Target, request: TargetRequest<'_>) -> SendReply;
 
     /// Closes the idle connections to a target that left, restarted or moved to another address.
     ///
--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -11,6 +11,9 @@
 //! The grace period does not apply after an outage that was too short for a target to miss its
 //! reports, nor when the store was unreachable for this host only. A registration that is missing
 //! then belongs to a target that has left, and keeping it would send work to a target that stops.
+//!
+//! A target may also say in a response that it is leaving. This host then sends it no new work until
+//! the target has restarted, whatever its registration says; see `docs/design/platform.md`.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -76,10 +79,25 @@
 /// before the outage began.
 const MISSED_REPORTS: u32 = 2;
 
+/// How long a target's statement that it is leaving is kept after its registration has gone. Until
+/// then, a registration that comes back does not make the target usable.
+const NOTICE_RETENTION: Duration = Duration::from_secs(3_600);
+
+/// A target's statement that it is leaving.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct LeavingNotice {
+    /// The run of the target that made the statement.
+    start: Incarnation,
+    /// When this host received it.
+    received: Duration,
+}
+
 /// The known targets. All times are durations since the start of this process.
 #[derive(Clone, Debug, Default)]
 pub struct TargetRegistry {
     registrations: BTreeMap<TargetName, Registration>,
+    /// The targets that said that they are leaving.
+    leaving: BTreeMap<TargetName, LeavingNotice>,
     /// The shortest store outage that can let registrations expire.
     min_outage: Duration,
     /// When the store last responded, to this host or to a peer.
@@ -119,6 +137,25 @@
         }
     }
 
+    /// Records that the run `start` of a target said at `now` that it is leaving; returns whether
+    /// that is new.
+    pub fn record_leaving(&mut self, name: &TargetName, start: Incarnation, now: Duration) -> bool {
+        let registrations = &self.registrations;
+        self.leaving.retain(|name, it| {
+            registrations.contains_key(name) || now < it.received + NOTICE_RETENTION
+        });
+        if self.has_left(name, start) {
+            return false;
+        }
+        self.leaving.insert(name.clone(), LeavingNotice { start, received: now });
+        true
+    }
+
+    /// Returns whether the run `start` of a target, or a later one, said that it is leaving.
+    fn has_left(&self, name: &TargetName, start: Incarnation) -> bool {
+        self.leaving.get(name).is_some_and(|it| start <= it.start)
+    }
+
     /// Handles a registration that is missing from the store.
     ///
     /// Returns whether the target was removed. During an outage of the store and the
@@ -208,8 +245,23 @@
         self.last_response.map(|it| now.saturating_sub(it))
     }
 
-    /// Returns the targets by name, with those that are marked as missing.
+    /// Returns the targets by name, with those that are marked as missing. A target that said that
+    /// it is leaving has that status.
     pub fn targets(&self) -> BTreeMap<TargetName, Target> {
+        let mut targets = self.registered();
+        for (name, target) in &mut targets {
+            if self.has_left(name, target.start) {
+                target.status = TargetStatus::Leaving;
+            }
+        }
+        targets
+    }
+
+    /// Returns the targets by name as they are registered, for a peer.
+    ///
+    /// What targets said to this host is left out: a peer would take it for a registration. It
+    /// finds out with its own first response from the target, which still completes its requests.
+    pub fn registered(&self) -> BTreeMap<TargetName, Target> {
         self.registrations.iter().map(|(name, it)| (name.clone(), it.target.clone())).collect()
     }
 }
--- a/crates/rosethread_entry/tests/registry.rs
+++ b/crates/rosethread_entry/tests/registry.rs
@@ -130,6 +130,69 @@
     assert_eq!(registry.listing_age(at(2_100)), Some(at(100)));
 }
 
+/// A step of [`check_leaving`].
+enum Notice {
+    /// The run with this start time says that it is leaving.
+    Leaving(u64),
+    /// The run with this start time registers as ready, with this version.
+    Ready(u64, u64),
+    /// The registration is removed.
+    Removed,
+}
+
+/// Applies the steps and compares the target's status and its registration, if it has one.
+fn check_leaving(steps: &[Notice], expected: Option<TargetStatus>) {
+    let mut registry = TargetRegistry::new(REPORT_PERIOD);
+    for (index, step) in steps.iter().enumerate() {
+        let now = at(index as u64);
+        match step {
+            Notice::Leaving(start) => {
+                registry.record_leaving(&name(), Incarnation(*start), now);
+            }
+            Notice::Ready(start, version) => drop(registry.upsert(target(*start, *version))),
+            Notice::Removed => drop(registry.handle_missing(&name(), now)),
+        }
+    }
+    assert_eq!(registry.targets().get(&name()).map(|it| it.status), expected);
+    // Peers get the registrations only.
+    let registered = registry.registered().get(&name()).map(|it| it.status);
+    assert_eq!(registered, expected.map(|_| TargetStatus::Ready));
+}
+
+rosethread_cases::cases!(check_leaving {
+    a_target_that_says_it_leaves_is_leaving:
+        (&[Notice::Ready(1, 1), Notice::Leaving(1)], Some(TargetStatus::Leaving));
+    a_newer_registration_does_not_revoke_it: (
+        &[Notice::Ready(1, 1), Notice::Leaving(1), Notice::Ready(1, 2)],
+        Some(TargetStatus::Leaving),
+    );
+    a_registration_that_comes_back_does_not_revoke_it: (
+        &[Notice::Ready(1, 1), Notice::Leaving(1), Notice::Removed, Notice::Ready(1, 3)],
+        Some(TargetStatus::Leaving),
+    );
+    a_notice_before_the_registration_counts:
+        (&[Notice::Leaving(1), Notice::Ready(1, 1)], Some(TargetStatus::Leaving));
+    a_new_run_is_ready:
+        (&[Notice::Ready(1, 1), Notice::Leaving(1), Notice::Ready(2, 1)], Some(TargetStatus::Ready));
+    a_late_notice_of_an_earlier_run_is_ignored:
+        (&[Notice::Ready(2, 1), Notice::Leaving(1)], Some(TargetStatus::Ready));
+    a_late_notice_of_an_earlier_run_keeps_a_newer_one: (
+        &[Notice::Ready(2, 1), Notice::Leaving(2), Notice::Leaving(1)],
+        Some(TargetStatus::Leaving),
+    );
+    a_target_that_left_is_gone:
+        (&[Notice::Ready(1, 1), Notice::Leaving(1), Notice::Removed], None);
+});
+
+#[test]
+fn a_repeated_leaving_notice_is_not_new() {
+    let mut registry = TargetRegistry::new(REPORT_PERIOD);
+    registry.upsert(target(1, 1));
+    assert!(registry.record_leaving(&name(), Incarnation(1), at(0)));
+    assert!(!registry.record_leaving(&name(), Incarnation(1), at(9)));
+    assert!(registry.record_leaving(&name(), Incarnation(2), at(10)));
+}
+
 #[test]
 fn a_target_missing_from_a_full_listing_is_removed() {
     let mut registry = TargetRegistry::default();
