Close connections on which a target sends bytes without end

- Read buffers of 32 kB, events of 64 kB at most; responses beyond 32 kB share 8 MB a host.
- A stream that generates more tokens than the turn may is cut: events without end would use up the budget.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -25,6 +25,9 @@
 /// Size limit of a response that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
 
+/// The bytes of each response that may be buffered whatever the other responses need.
+const SMALL_RESPONSE_BYTES: usize = 32 << 10;
+
 /// Tokens of a prompt and of the output that it may generate, as the caller states them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PromptSize {
@@ -214,13 +217,21 @@
     use futures::StreamExt;
     let TargetResponse { body, .. } = &mut dispatched.response;
     let mut buffered = bytes::BytesMut::new();
+    let mut memory = prepared.entry.response_memory.reserve();
     loop {
         let chunk = tokio::time::timeout_at(prepared.deadline, body.next()).await;
         match chunk {
             Ok(Some(Ok(bytes))) if buffered.len() + bytes.len() <= MAX_BUFFERED_BYTES => {
+                let needed = (buffered.len() + bytes.len()).saturating_sub(SMALL_RESPONSE_BYTES);
+                if !memory.grow_to(needed) {
+                    return Err("the responses in progress leave no memory for this one".to_owned());
+                }
                 buffered.extend_from_slice(&bytes);
             }
-            Ok(Some(Ok(_))) => return Err("the response exceeds the size limit".to_owned()),
+            Ok(Some(Ok(_))) => {
+                dispatched.in_flight.record_failure(prepared.entry.now());
+                return Err("the response exceeds the size limit".to_owned());
+            }
             Ok(Some(Err(error))) => {
                 dispatched.in_flight.record_failure(prepared.entry.now());
                 return Err(error);
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -22,6 +22,7 @@
 use crate::{
     history::TurnCache,
     load::{LoadTracker, RemoteLoads},
+    memory::MemoryPool,
     metrics::Metrics,
     peers::PeerClient,
     ports::{RoutesSource, TargetsSource, Upstream},
@@ -36,6 +37,9 @@
 /// target registry, 700 ms each.
 const MAX_STORE_SILENCE: Duration = Duration::from_millis(1_600);
 
+/// Memory that all large responses in progress share, in bytes.
+const RESPONSE_MEMORY_BYTES: usize = 8 << 20;
+
 /// The dependencies of an entry, passed to [`EntryNode::start`](crate::EntryNode::start).
 pub struct EntryDependencies {
     /// The settings of this process.
@@ -116,6 +120,8 @@
     pub(crate) turns: TurnCache,
     /// Number of calls in progress at this host.
     pub(crate) active_calls: AtomicU32,
+    /// Memory for the large ones of the responses that are being buffered.
+    pub(crate) response_memory: MemoryPool,
 }
 
 impl Entry {
@@ -137,6 +143,7 @@
             shards: Shards::default(),
             turns: TurnCache::default(),
             active_calls: AtomicU32::new(0),
+            response_memory: MemoryPool::new(RESPONSE_MEMORY_BYTES),
             reloadable: watch::Sender::new(Arc::new(dependencies.settings.reloadable())),
             settings: dependencies.settings,
             clock: dependencies.clock,
--- a/crates/rosethread_entry/src/events.rs
+++ b/crates/rosethread_entry/src/events.rs
@@ -10,7 +10,7 @@
 use displaydoc::Display;
 
 /// Limit on the bytes in the buffer, and thus on the size of one event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// One complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use futures::StreamExt;
-use rosethread_types::{Reason, Refusal};
+use rosethread_types::{Reason, Refusal, Tokens};
 use slog::{info, warn};
 use tokio::{sync::mpsc, time::timeout_at};
 
@@ -54,6 +54,8 @@
     buffer: EventBuffer,
     /// Identifier of the last event forwarded to the caller.
     last_id: Option<u64>,
+    /// Tokens of the events forwarded to the caller.
+    tokens: Tokens,
     /// The data of all events, collected only if the route stores the history of turns.
     output: Vec<u8>,
     /// Time from the call's arrival to the first event.
@@ -69,6 +71,7 @@
             dispatched,
             buffer: EventBuffer::default(),
             last_id,
+            tokens: 0,
             output: Vec::new(),
             first_latency: None,
         }
@@ -112,7 +115,7 @@
     ) -> Result<&'static str, Refusal> {
         let mut next = first_event;
         while let Some(event) = next {
-            self.prepared.count_tokens(self.prepared.event_tokens());
+            self.count_event()?;
             self.record_event(&event);
             if sender.send(Ok(event.bytes)).await.is_err() {
                 return Ok("caller-left");
@@ -128,6 +131,22 @@
         Ok("answered")
     }
 
+    /// Charges the tokens of an event to the turn, and ends the stream if they are more than the turn
+    /// may generate. A target that sends events without end would use up the program's budget.
+    fn count_event(&mut self) -> Result<(), Refusal> {
+        let tokens = self.prepared.event_tokens();
+        let max = self.prepared.call.prompt.as_ref().map_or(0, |it| it.max_output);
+        if max != 0 && max.next_multiple_of(tokens.max(1)) < self.tokens + tokens {
+            self.dispatched.in_flight.record_failure(self.prepared.entry.now());
+            let target = &self.dispatched.target.name;
+            let detail = format!("{target} generated more than {max} tokens");
+            return Err(uncertain_refusal(false, Reason::TargetFailed, detail));
+        }
+        self.tokens += tokens;
+        self.prepared.count_tokens(tokens);
+        Ok(())
+    }
+
     /// Advances the position to resume from, and collects the event's data if the turn is stored.
     fn record_event(&mut self, event: &Event) {
         if event.id.is_some() {
