Placement: compare two drawn targets of equal caches, not all

Hosts know loads with a delay. The least costly of all targets is then the same one for all hosts until the next report, and gets all their calls at once. So of targets that cache the same number of tokens two are drawn; those that cache more or less are compared as before.

--- a/crates/rosethread_policy/src/place.rs
+++ b/crates/rosethread_policy/src/place.rs
@@ -8,6 +8,8 @@
 //! The wait is estimated from the owner's own count of calls, never only from a target's delayed
 //! report. New programs go to the less loaded of two randomly drawn targets.
 
+use std::collections::BTreeMap;
+
 use crate::Strategy;
 
 /// A target that may serve the call.
@@ -86,7 +88,7 @@
         Strategy::Adaptive => {
             let max_cached = candidates.iter().map(|it| it.cached).max().unwrap_or(0);
             let cost = |it: &Candidate| cost(it, request, weights, max_cached);
-            usable
+            draw_by_cache(usable, request.random)
                 .map(|(index, it)| Placement { index, cost: cost(it) })
                 .min_by(|a, b| a.cost.total_cmp(&b.cost))
         }
@@ -107,6 +109,30 @@
     }
 }
 
+/// Draws two of the targets that cache the same number of tokens, for each such number.
+///
+/// Targets with the same cache differ only in load, and nodes know loads with a delay: the least
+/// loaded of all would attract the calls of all nodes until the next update.
+fn draw_by_cache<'a, I>(usable: I, random: usize) -> impl Iterator<Item = (usize, &'a Candidate)>
+where
+    I: Iterator<Item = (usize, &'a Candidate)>,
+{
+    let mut by_cache: BTreeMap<u64, Vec<(usize, &Candidate)>> = BTreeMap::new();
+    for (index, it) in usable {
+        by_cache.entry(it.cached).or_default().push((index, it));
+    }
+    by_cache.into_values().flat_map(move |equals| draw_two(&equals, random))
+}
+
+/// Draws two elements; twice the same one if there is only one.
+fn draw_two<T: Copy>(elements: &[T], random: usize) -> [T; 2] {
+    let count = elements.len();
+    let first = random % count;
+    // The second differs from the first unless there is only one element.
+    let second = (first + 1 + random / count % count.saturating_sub(1).max(1)) % count;
+    [elements[first], elements[second]]
+}
+
 /// Draws two targets and chooses the less loaded one ("power of two choices").
 ///
 /// The load is the number of calls per slot; the network delay separates targets of equal load.
@@ -114,14 +140,10 @@
 /// A new program has no cached prompt anywhere, and the loads that nodes know are some hundred
 /// milliseconds old: the least loaded target would attract all new programs until the next update.
 fn less_loaded_of_two(usable: &[(usize, &Candidate)], random: usize) -> Option<Placement> {
-    let count = usable.len();
-    if count == 0 {
+    if usable.is_empty() {
         return None;
     }
-    let first = random % count;
-    // The second differs from the first unless there is only one usable target.
-    let second = (first + 1 + random / count % count.saturating_sub(1).max(1)) % count;
-    let pair = [usable[first], usable[second]];
+    let pair = draw_two(usable, random);
     let work = |it: &Candidate| {
         f64::from(it.running + it.waiting) / f64::from(it.slots.max(1)) + it.network_s
     };
