Hosts agree on the targets that hold shared prompt parts

Rendezvous hashing over the ready targets ranks them for each part. The first few hold it: three times (setting part_copies) the part's share of the calls, two at least. A host estimates the share from its own calls; where estimates differ, the larger set contains the smaller. Where all holders are busy, twice as many of the ranking are used, the same ones by all hosts.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -194,6 +194,7 @@
 /// Prepares and dispatches a call, and retries it if a buffered response breaks off.
 async fn run_call(entry: &Arc<Entry>, call: Call) -> Result<CallResponse, Refusal> {
     let prepared = Arc::new(PreparedCall::prepare(entry, call).await?);
+    entry.loads.observe_prompt(&prepared.service, &prepared.call, entry.now());
     let mut attempts = Attempts::default();
     loop {
         let dispatched = dispatch(&prepared, &mut attempts, prepared.call.resume_after).await?;
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -1,9 +1,11 @@
 //! Chooses the target of a request: candidates from the registry, costs from `rosethread_policy`.
 
+use std::collections::BTreeMap;
+
 use rosethread_config::PolicyName;
 use rosethread_membership::ClusterView;
 use rosethread_policy::{
-    Candidate, PlacementRequest, Strategy, Weights, choose_target, should_shed,
+    Candidate, Holders, PlacementRequest, Strategy, Weights, choose_target, should_shed,
 };
 use rosethread_types::{ServiceName, TargetName};
 
@@ -77,7 +79,7 @@
     let per_token_s = entry.loads.prefill_estimator(service).per_token_s();
     let loads = entry.loads.lock();
     let default_stats = TargetStats::default();
-    let candidates: Vec<Candidate> = usable
+    let mut candidates: Vec<Candidate> = usable
         .iter()
         .map(|it| {
             let stats = loads.get(&it.name).unwrap_or(&default_stats);
@@ -89,6 +91,9 @@
         })
         .collect();
     drop(loads);
+    if let Some(holders) = PartHolders::find(entry, call, service, &targets) {
+        holders.restrict(&usable, home, &mut candidates);
+    }
     let request = PlacementRequest {
         prompt_tokens: call.prompt.as_ref().map_or(0, PromptSize::input_tokens),
         home: home.and_then(|home| usable.iter().position(|it| it.name == *home)),
@@ -104,6 +109,65 @@
     Some(Choice { target: usable[placement.index].clone(), max_connections, estimate })
 }
 
+/// The targets that hold the shared parts of a call's prompt.
+struct PartHolders<'a> {
+    /// The index of each ready target in `holders`.
+    indices: BTreeMap<&'a TargetName, usize>,
+    holders: Holders,
+}
+
+impl PartHolders<'_> {
+    /// Finds the holders among the ready targets of `service`; `None` if the prompt shares no part
+    /// with other programs.
+    ///
+    /// Targets that the call excludes keep their ranks, so that a failed send does not change the
+    /// holders.
+    fn find<'a>(
+        entry: &Entry,
+        call: &Call,
+        service: &ServiceName,
+        targets: &'a BTreeMap<TargetName, Target>,
+    ) -> Option<PartHolders<'a>> {
+        let headroom = entry.reloadable().part_copies;
+        let prompt = call.prompt.as_ref().filter(|_| 0.0 < headroom)?;
+        let is_ready = |it: &&Target| it.service == *service && it.status == TargetStatus::Ready;
+        let names: Vec<&TargetName> =
+            targets.values().filter(is_ready).map(|it| &it.name).collect();
+        let demands = entry.loads.lock_demands();
+        let demand = demands.get(service)?;
+        let holders = Holders::find(demand, &prompt.parts, &names, headroom, entry.now())?;
+        let indices = names.into_iter().enumerate().map(|(index, name)| (name, index)).collect();
+        Some(PartHolders { indices, holders })
+    }
+
+    /// Leaves as candidates the holders with room, or the next targets in the ranking, and those
+    /// that cache more of the prompt than its shared parts.
+    fn restrict(
+        &self,
+        usable: &[&Target],
+        home: Option<&TargetName>,
+        candidates: &mut [Candidate],
+    ) {
+        let mut by_index: BTreeMap<usize, Candidate> = BTreeMap::new();
+        for (target, candidate) in usable.iter().zip(candidates.iter()) {
+            by_index.insert(self.indices[&target.name], *candidate);
+        }
+        let is_busy = |index: usize| {
+            by_index.get(&index).is_none_or(|it| it.is_unavailable || it.slots <= it.running)
+        };
+        let allowed = self.holders.usable(is_busy);
+        let shared = self.holders.shared_tokens();
+        for (target, candidate) in usable.iter().zip(candidates) {
+            let index = self.indices[&target.name];
+            if allowed.contains(&index) {
+                candidate.cached = candidate.cached.max(self.holders.tokens(index));
+            } else if home != Some(&target.name) && candidate.cached <= shared {
+                candidate.is_unavailable = true;
+            }
+        }
+    }
+}
+
 /// Load of the ready targets of one service.
 pub(crate) struct ServiceLoad {
     /// Requests that all hosts are known to have in flight.
--- a/crates/rosethread_entry/src/load.rs
+++ b/crates/rosethread_entry/src/load.rs
@@ -7,11 +7,11 @@
 };
 
 use rosethread_membership::{ClusterView, TargetLoad};
-use rosethread_policy::{PrefillEstimator, TargetHealth};
+use rosethread_policy::{PartDemand, PrefillEstimator, TargetHealth};
 use rosethread_types::{NodeName, PromptPart, ServiceName, TargetName};
 use tokio::time::Instant;
 
-use crate::choose::Choice;
+use crate::{call::Call, choose::Choice};
 
 /// How long a part of a prompt is assumed to stay in an engine's prefix cache after its last use.
 const CACHE_TTL: Duration = Duration::from_secs(20);
@@ -58,6 +58,8 @@
     targets: Arc<Mutex<BTreeMap<TargetName, TargetStats>>>,
     /// Estimates the prefill time of each service's engines.
     prefill_estimators: Arc<Mutex<BTreeMap<ServiceName, PrefillEstimator>>>,
+    /// Counts the shared prompt parts in the calls to each service.
+    part_demands: Arc<Mutex<BTreeMap<ServiceName, PartDemand>>>,
 }
 
 impl LoadTracker {
@@ -75,6 +77,21 @@
         prefill_estimators.get(service).copied().unwrap_or_default()
     }
 
+    /// Locks the demand for prompt parts at all services.
+    pub(crate) fn lock_demands(&self) -> MutexGuard<'_, BTreeMap<ServiceName, PartDemand>> {
+        self.part_demands.lock().expect("no holder of the part demands lock panics")
+    }
+
+    /// Counts the prompt parts of a call to `service`.
+    pub(crate) fn observe_prompt(&self, service: &ServiceName, call: &Call, now: Duration) {
+        let Some(prompt) = &call.prompt else {
+            return;
+        };
+        let program = call.program.as_ref().map(|it| &it.program);
+        let mut demands = self.lock_demands();
+        demands.entry(service.clone()).or_default().observe(program, &prompt.parts, now);
+    }
+
     /// Counts a request as in flight at a target until the returned guard is dropped.
     pub(crate) fn start_request(
         &self,
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -6,6 +6,13 @@
 use rosethread_types::{NodeName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+/// Default of [`EntrySettings::part_copies`].
+const DEFAULT_PART_COPIES: f64 = 3.0;
+
+fn default_part_copies() -> f64 {
+    DEFAULT_PART_COPIES
+}
+
 /// The contents of the settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -22,6 +29,11 @@
     /// The policy for choosing a target.
     #[serde(default)]
     pub policy: PolicyName,
+    /// How many targets hold a prompt part that programs share, as a multiple of the part's share of
+    /// all calls. At 1, the holders of all parts together are as many as the targets. At 0, hosts
+    /// don't agree on holders, and go by what they have sent themselves.
+    #[serde(default = "default_part_copies")]
+    pub part_copies: f64,
     /// Addresses of hosts to contact first. Only the IP addresses count: all hosts receive
     /// heartbeats on the same port.
     #[serde(default)]
@@ -89,6 +101,8 @@
     pub processor: f64,
     /// See [`EntrySettings::policy`].
     pub policy: PolicyName,
+    /// See [`EntrySettings::part_copies`].
+    pub part_copies: f64,
     /// See [`PlatformSettings::writes_per_s`].
     pub writes_per_s: f64,
     /// See [`EntrySettings::bounds`].
@@ -101,6 +115,7 @@
         ReloadableSettings {
             processor: self.processor,
             policy: self.policy,
+            part_copies: self.part_copies,
             writes_per_s: self.platform.writes_per_s,
             bounds: self.bounds.clone(),
         }
@@ -138,6 +153,9 @@
         let processor = self.processor;
         let rule = "must be above 0 and at most 1000";
         problems.require(0.0 < processor && processor <= 1_000.0, "processor", processor, rule);
+        let copies = self.part_copies;
+        let rule = "must be from 0 to 1000";
+        problems.require((0.0..=1_000.0).contains(&copies), "part_copies", copies, rule);
         let addresses = &self.addresses;
         let endpoints = [
             ("addresses.caller", addresses.caller),
--- a/crates/rosethread_entry/tests/settings.rs
+++ b/crates/rosethread_entry/tests/settings.rs
@@ -45,6 +45,10 @@
     a_port_of_zero: ("10.1.0.1:8001", "10.1.0.1:0", "addresses.caller = 10.1.0.1:0: the port");
     no_partitions: ("partitions = 12", "partitions = 0", "platform.partitions = 0: must be from 1");
     no_writes: ("writes_per_s = 800", "writes_per_s = 0", "platform.writes_per_s = 0: must be 1");
+    a_negative_number_of_copies:
+        ("processor = 0.25", "processor = 0.25\npart_copies = -1", "part_copies = -1: must be from 0");
+    a_text_for_the_number_of_copies:
+        ("processor = 0.25", "processor = 0.25\npart_copies = \"x\"", "part_copies");
     no_processor: ("processor = 0.25", "processor = 0", "processor = 0: must be above 0");
     no_retention: ("retention_s = 300", "retention_s = 0", "platform.retention_s = 0: must not be 0");
     tiny_records: ("record_bytes = 262144", "record_bytes = 9", "platform.record_bytes = 9");
@@ -75,6 +79,8 @@
 rosethread_cases::cases!(check_restart {
     unchanged_settings_need_nothing: ("zone = \"a\"", "zone = \"a\"", &[]);
     a_new_processor_share_is_reloadable: ("processor = 0.25", "processor = 0.5", &[]);
+    a_new_number_of_copies_is_reloadable:
+        ("processor = 0.25", "processor = 0.25\npart_copies = 2", &[]);
     a_new_write_rate_is_reloadable: ("writes_per_s = 800", "writes_per_s = 80", &[]);
     a_new_zone_needs_a_restart: ("zone = \"a\"", "zone = \"b\"", &["zone"]);
     a_new_port_needs_a_restart: ("10.1.0.1:8001", "10.1.0.1:8009", &["addresses"]);
--- a/crates/rosethread_policy/src/lib.rs
+++ b/crates/rosethread_policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod breaker;
+mod copies;
 mod health;
 mod moves;
 mod order;
@@ -19,6 +20,7 @@
 
 pub use admission::{AdmissionRequest, Forecast, admit, should_shed};
 pub use breaker::{BreakerConfig, CircuitBreaker};
+pub use copies::{Holders, PartDemand, copy_count, rank_holders};
 pub use health::TargetHealth;
 pub use moves::{DrainCandidate, ProgramMove, plan_drain};
 pub use order::{FairShares, QueuedCall, select_next_call};
