--- a/crates/rosethread_testbed/examples/slopes.rs
+++ b/crates/rosethread_testbed/examples/slopes.rs
@@ -18,13 +18,13 @@
 use rosethread_membership::{AuthKeys, Contact, Detector, DetectorConfig, Message, target_owner};
 use rosethread_platform::Clock;
 use rosethread_policy::{
-    Candidate, FairShares, PlacementRequest, QueuedCall, Strategy, Weights, choose_target,
-    select_next_call,
+    Candidate, FairShares, Holders, PartDemand, PlacementRequest, QueuedCall, Strategy, Weights,
+    choose_target, select_next_call,
 };
 use rosethread_program::{
     Budget, Continuation, Event, Exchange, Grant, History, Program, SealKey, SealKeys, Usage,
 };
-use rosethread_types::{Digest, Epoch, Incarnation, ProgramId, Revision};
+use rosethread_types::{Digest, Epoch, Incarnation, ProgramId, Revision, TargetName};
 
 /// The simulated duration of each membership run, in probe periods.
 const PERIOD_COUNT: u32 = 60;
@@ -394,6 +394,11 @@
         placement_us.push(Point { x: n as f64, y: us });
     }
     print_fit("placing a call among n targets", "us", &placement_us)?;
+    let holder_us: Vec<Point> = [63_usize, 650, 6_700]
+        .into_iter()
+        .map(|n| Point { x: n as f64, y: time_holders(n) })
+        .collect();
+    print_fit("finding the holders of a shared part among n targets", "us", &holder_us)?;
     let mut selection_us = Vec::new();
     for n in [100_usize, 1_000, 10_000, 100_000] {
         let waiting: Vec<QueuedCall> = (0..n)
@@ -415,6 +420,28 @@
     print_fit("selecting among n waiting calls", "us", &selection_us)
 }
 
+/// Returns the time, in microseconds, to find the holders of a prompt's shared part among `count`
+/// targets, on a host that has seen a thousand calls with sixteen parts.
+fn time_holders(count: usize) -> f64 {
+    let names: Vec<TargetName> = (0..count).map(|it| parse_name(format!("target-{it}"))).collect();
+    let names: Vec<&TargetName> = names.iter().collect();
+    let prompt = |number: usize| {
+        let part = |id: String| id.parse().expect("the part is valid");
+        vec![(part(format!("{:x}", number % 16)), 12_600), (part(format!("ff{number:x}")), 1_700)]
+    };
+    let mut demand = PartDemand::default();
+    for number in 0..1_000 {
+        demand.observe(None, &prompt(number), Duration::from_millis(number as u64));
+    }
+    let (prompt, now) = (prompt(7), Duration::from_secs(1));
+    mean_time_us(2_000_000 / count, |_| {
+        || {
+            let holders = Holders::find(&demand, &prompt, &names, 3.0, now);
+            std::hint::black_box(holders.map(|it| it.usable(|_| false).len()));
+        }
+    })
+}
+
 /// Measures the time to rebuild programs from the journal, with an in-memory log that responds at
 /// once.
 fn measure_recovery() -> io::Result<()> {
