Publish targets under the registry's lock; compare tokens without overflow

Found in a second reading. A call that learns that a target leaves publishes the targets, as the control thread does after each read of the registry. A list that the control thread had made just before could overwrite it, and the target would get calls again until the next read (0.7 s, longer without the store). The lock is now held from the list's making to its publication. Not seen, no test: the window is some microseconds.

A token limit near the largest number overflowed when it was rounded up to whole events: a panic in a debug build, a cut stream in a release build. The tokens so far are compared with the limit itself, which is the same for whole events.

--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -81,7 +81,9 @@
 
 /// Makes the registry's targets the ones that calls can use, and logs the changes.
 fn publish_targets(entry: &Entry, removed: &[TargetName]) {
-    let targets = entry.registry.lock().expect("the lock is not poisoned").targets();
+    // Held to the end, so that calls and the control thread don't publish in the wrong order.
+    let registry = entry.registry.lock().expect("the lock is not poisoned");
+    let targets = registry.targets();
     let old = entry.targets();
     for name in removed {
         info!(entry.logger, "targets: removed"; "target" => %name);
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -136,7 +136,7 @@
     fn count_event(&mut self) -> Result<(), Refusal> {
         let tokens = self.prepared.event_tokens();
         let max = self.prepared.call.prompt.as_ref().map_or(0, |it| it.max_output);
-        if max != 0 && max.next_multiple_of(tokens.max(1)) < self.tokens + tokens {
+        if max != 0 && max <= self.tokens {
             self.dispatched.in_flight.record_failure(self.prepared.entry.now());
             let target = &self.dispatched.target.name;
             let detail = format!("{target} generated more than {max} tokens");
