--- a/crates/rosethread_entry/src/control/routes.rs
+++ b/crates/rosethread_entry/src/control/routes.rs
@@ -5,7 +5,7 @@
 use rosethread_membership::{NodeState, Status};
 use rosethread_runtime::Tick;
 use slog::{info, warn};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::{
     entry::Entry,
@@ -24,13 +24,14 @@
     let mut was_reachable = true;
     loop {
         let after = entry.routes().revision;
+        let started = Instant::now();
         match entry.routes_source.fetch_newer(after).await {
             Ok(routes) => {
                 if !std::mem::replace(&mut was_reachable, true) {
                     info!(entry.logger, "store: regained"; "part" => "routes");
                 }
                 if let Some(routes) = routes {
-                    activate(&entry, routes, "store");
+                    activate(&entry, routes, "store", started);
                 }
             }
             Err(error) => {
@@ -53,8 +54,9 @@
         let Some(peer) = view.nodes.values().find(has_newer) else {
             continue;
         };
+        let started = Instant::now();
         match entry.peers.request(peer.contact.peer, PeerRequest::Routes).await {
-            Ok(PeerReply::Routes(routes)) => activate(&entry, routes, peer.node.as_str()),
+            Ok(PeerReply::Routes(routes)) => activate(&entry, routes, peer.node.as_str(), started),
             Ok(_) => warn!(entry.logger, "routes: unexpected reply"; "peer" => %peer.node),
             Err(error) => {
                 warn!(entry.logger, "routes: failed to fetch from a peer"; "peer" => %peer.node,
@@ -66,8 +68,10 @@
 
 /// Activates routes unless the active revision is as new or newer.
 ///
-/// `source` is the name of the peer that sent the routes, or `store`; it is only logged.
-fn activate(entry: &Entry, routes: Routes, source: &str) {
+/// `source` is the name of the peer that sent the routes, or `store`, and `started` is when they were
+/// requested. Both are only logged, so that a change which was late in the store can be told from one
+/// whose read was pending across an outage.
+fn activate(entry: &Entry, routes: Routes, source: &str, started: Instant) {
     let (revision, count) = (routes.revision, routes.count());
     let previous = entry.routes().revision;
     let is_activated = entry.routes.send_if_modified(|it| {
@@ -80,6 +84,7 @@
     if is_activated {
         entry.metrics.revision.set(revision.0 as i64);
         info!(entry.logger, "routes: activated"; "revision" => revision.0, "before" => previous.0,
-            "from" => source, "routes" => count);
+            "from" => source, "routes" => count, "read_ms" => started.elapsed().as_millis() as u64,
+            "store_silence_ms" => entry.time_since_store_response().as_millis() as u64);
     }
 }
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -280,7 +280,8 @@
         !self.is_log_reachable() && 1 < view.nodes.len() && reachable <= 1
     }
 
-    fn time_since_store_response(&self) -> Duration {
+    /// Returns the time since the store last responded to this host's reads of the registry.
+    pub(crate) fn time_since_store_response(&self) -> Duration {
         let last = Duration::from_millis(self.store_response_ms.load(Ordering::Relaxed));
         self.now().saturating_sub(last)
     }
