Keep to the limits that targets in need name, all hosts together

Cause: nothing read the header `Server-Limit`. A host that keeps to the limit alone would not do: the limit is for all hosts together, 10 to 195 of them.

Now the live hosts are ranked for each target; the first of the ranking share the rate by token buckets, the others send nothing. Hosts tell each other of limits with their loads. A response without a limit to a request that was sent after it was known withdraws it.

The reports between hosts have a new field, so hosts of older versions do not understand them.

--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -10,8 +10,10 @@
     call::{PreparedCall, uncertain_refusal},
     choose::{Estimate, select_target},
     control::exclude_leaving,
+    entry::Entry,
+    limits::LimitChange,
     load::InFlightRequest,
-    ports::{SendError, TargetRequest, TargetResponse},
+    ports::{SendError, SendReply, TargetRequest, TargetResponse},
     registry::Target,
 };
 
@@ -127,10 +129,14 @@
             rank: prepared.rank,
             max_connections: choice.max_connections,
         };
+        let sent_at = entry.now();
         let sent = timeout_at(prepared.deadline, entry.upstream.send(&target, request)).await;
         if sent.as_ref().is_ok_and(|it| it.is_leaving) {
             exclude_leaving(entry, &target);
         }
+        if let Ok(reply) = &sent {
+            record_limit(entry, &target, sent_at, reply);
+        }
         let error = match sent.map(|it| it.result) {
             Ok(Ok(response)) if should_retry(prepared, attempts, &response) => {
                 in_flight.record_failure(entry.now());
@@ -185,6 +191,31 @@
     500 <= response.status && may_retry
 }
 
+/// Records the limit that a target named in its reply, or that it named none. Only a response of the
+/// target itself says that.
+fn record_limit(entry: &Entry, target: &Target, sent_at: Duration, reply: &SendReply) {
+    let per_s = match &reply.limit {
+        Ok(None) if reply.result.is_err() => return,
+        Ok(per_s) => *per_s,
+        Err(error) => {
+            info!(entry.logger, "targets: ignoring a malformed limit"; "target" => %target.name,
+                "error" => error);
+            return;
+        }
+    };
+    match entry.limits.record_response(target, sent_at, per_s, entry.now()) {
+        Some(LimitChange::Named(per_s)) => {
+            info!(entry.logger, "targets: a target names a limit"; "target" => %target.name,
+                "start" => target.start.0, "per_s" => per_s);
+        }
+        Some(LimitChange::Withdrawn) => {
+            info!(entry.logger, "targets: a target withdrew its limit"; "target" => %target.name,
+                "start" => target.start.0);
+        }
+        None => (),
+    }
+}
+
 /// Returns the metric label of a failed send.
 fn error_label(error: &SendError) -> &'static str {
     match error {
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -12,7 +12,7 @@
 use crate::{
     call::{Call, PromptSize},
     entry::Entry,
-    load::TargetStats,
+    load::{RemoteReports, TargetStats},
     registry::{Target, TargetStatus},
     routes::Service,
 };
@@ -75,7 +75,7 @@
     // Among equal costs the first candidate wins, which must differ between hosts.
     let offset = entry.random.next_u64() as usize % usable.len();
     usable.rotate_left(offset);
-    let remote = entry.remote_requests();
+    let remote = entry.remote_reports();
     let per_token_s = entry.loads.prefill_estimator(service).per_token_s();
     let loads = entry.loads.lock();
     let default_stats = TargetStats::default();
@@ -83,11 +83,12 @@
         .iter()
         .map(|it| {
             let stats = loads.get(&it.name).unwrap_or(&default_stats);
-            let remote_running = remote.get(&it.name).copied().unwrap_or(0);
+            let remote_running = remote.running.get(&it.name).copied().unwrap_or(0);
             let prompt = call.prompt.as_ref();
             let candidate =
                 candidate(entry, it, stats, remote_running, prompt, home, max_connections);
-            Candidate { prefill_rate: 1.0 / per_token_s, ..candidate }
+            let is_unavailable = candidate.is_unavailable || !has_room(entry, it, &remote, false);
+            Candidate { prefill_rate: 1.0 / per_token_s, is_unavailable, ..candidate }
         })
         .collect();
     drop(loads);
@@ -101,14 +102,28 @@
         random: entry.random.next_u64() as usize,
     };
     let weights = Weights { latency: 1.0, waste: 0.0 };
-    let placement =
-        choose_target(strategy(entry.reloadable().policy), &candidates, request, weights)?;
+    let strategy = strategy(entry.reloadable().policy);
+    let placement = loop {
+        let placement = choose_target(strategy, &candidates, request, weights)?;
+        if has_room(entry, usable[placement.index], &remote, true) {
+            break placement;
+        }
+        // Another call has taken the rest of this host's share since.
+        candidates[placement.index].is_unavailable = true;
+    };
     let Candidate { running, cached, .. } = candidates[placement.index];
     let uncached_tokens = request.prompt_tokens.saturating_sub(cached);
     let estimate = Estimate { running, uncached_tokens, per_token_s };
     Some(Choice { target: usable[placement.index].clone(), max_connections, estimate })
 }
 
+/// Returns whether a target's limit, if it has one, leaves this host a request to send, and counts
+/// that request if `is_taken` is set.
+fn has_room(entry: &Entry, target: &Target, remote: &RemoteReports, is_taken: bool) -> bool {
+    let sharers = entry.sharers(remote);
+    entry.limits.has_room(target, &remote.limits, sharers, entry.now(), is_taken)
+}
+
 /// The targets that hold the shared parts of a call's prompt.
 struct PartHolders<'a> {
     /// The index of each ready target in `holders`.
@@ -182,17 +197,26 @@
 pub(crate) fn overload(entry: &Entry, service: &ServiceName) -> Option<ServiceLoad> {
     let targets = entry.targets();
     let usable = |it: &&Target| it.service == *service && it.status == TargetStatus::Ready;
-    let remote = entry.remote_requests();
+    let remote = entry.remote_reports();
     let loads = entry.loads.lock();
     let (mut running, mut slots) = (0, 0);
     for target in targets.values().filter(usable) {
         let local_running = loads.get(&target.name).map_or(0, |it| it.health.outstanding);
-        running += local_running + remote.get(&target.name).copied().unwrap_or(0);
-        slots += target.slots;
+        running += local_running + remote.running.get(&target.name).copied().unwrap_or(0);
+        let rate = entry.limits.rate(target, &remote.limits, entry.sharers(&remote), entry.now());
+        let service_s = loads.get(&target.name).map_or(0.0, |it| it.health.service_s);
+        slots += rate.map_or(target.slots, |it| usable_slots(target.slots, it, service_s));
     }
     should_shed(running, slots, entry.random.next_f64()).then_some(ServiceLoad { running, slots })
 }
 
+/// Returns how many of a target's slots are in use on average if it gets `per_s` requests per second
+/// that take `service_s` each.
+fn usable_slots(slots: u32, per_s: f64, service_s: f64) -> u32 {
+    // A float that is too large for the integer saturates.
+    ((per_s * service_s).ceil() as u32).clamp(1, slots.max(1))
+}
+
 /// Returns how many connections this host may open to each target of a service.
 fn connection_limit(service: Option<&Service>, view: &ClusterView) -> usize {
     let total = service.map_or(f64::MAX, |it| f64::from(it.connections)) * CONNECTION_FRACTION;
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -31,7 +31,9 @@
             has_log: entry.is_log_reachable(),
             power: processor_percent(&entry),
             targets: entry.loads.summary(),
+            limits: entry.limits.report(entry.sharers(&entry.remote_reports()), entry.now()),
         };
+        entry.metrics.limited_targets.set(entry.limits.named_count() as i64);
         entry.metrics.nodes.set(entry.view().live().count() as i64);
         if members.tell(SetSummary(summary)).await.is_err() {
             return;
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -24,7 +24,8 @@
 
 use crate::{
     history::TurnCache,
-    load::{LoadTracker, RemoteLoads},
+    limits::{Sharers, TargetLimits},
+    load::{LoadTracker, RemoteLoads, RemoteReports},
     memory::MemoryPool,
     metrics::Metrics,
     peers::PeerClient,
@@ -120,6 +121,8 @@
     pub(crate) view: watch::Sender<Arc<ClusterView>>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) loads: LoadTracker,
+    /// The request rates that targets in need have named.
+    pub(crate) limits: TargetLimits,
     /// The load of each target from other hosts, cached for a short time.
     remote_loads: Mutex<RemoteLoads>,
     pub(crate) shards: Shards,
@@ -146,6 +149,7 @@
             view: watch::Sender::new(Arc::default()),
             phase: watch::Sender::new(Phase::Serving),
             loads: LoadTracker::default(),
+            limits: TargetLimits::default(),
             remote_loads: Mutex::default(),
             shards: Shards::default(),
             turns: TurnCache::default(),
@@ -255,10 +259,15 @@
         self.view.borrow().clone()
     }
 
-    /// Returns the number of requests that other hosts have in progress, by target.
-    pub(crate) fn remote_requests(&self) -> Arc<BTreeMap<TargetName, u32>> {
+    /// Returns what other hosts report of the targets.
+    pub(crate) fn remote_reports(&self) -> Arc<RemoteReports> {
         let mut remote = self.remote_loads.lock().expect("the lock is not poisoned");
-        remote.totals(&self.view(), &self.settings.node, self.now())
+        remote.reports(&self.view(), &self.settings.node, self.now())
+    }
+
+    /// Returns the hosts that share the rates of targets.
+    pub(crate) fn sharers<'a>(&'a self, reports: &'a RemoteReports) -> Sharers<'a> {
+        Sharers { hosts: &reports.hosts, digest: reports.digest, own: &self.settings.node }
     }
 
     /// Returns whether the store has responded within [`MAX_STORE_SILENCE`].
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod history;
 mod ledger;
 mod life;
+mod limits;
 mod load;
 mod memory;
 mod metrics;
--- a/crates/rosethread_entry/src/load.rs
+++ b/crates/rosethread_entry/src/load.rs
@@ -1,17 +1,19 @@
 //! Per-target load, health and cache contents, as this host observes them.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
-use rosethread_membership::{ClusterView, TargetLoad};
+use rosethread_membership::{ClusterView, TargetLimit, TargetLoad};
 use rosethread_policy::{PartDemand, PrefillEstimator, TargetHealth};
 use rosethread_types::{NodeName, PromptPart, ServiceName, TargetName};
 use tokio::time::Instant;
 
-use crate::{call::Call, choose::Choice};
+use crate::{call::Call, choose::Choice, limits::ReportedLimits};
 
 /// How long a part of a prompt is assumed to stay in an engine's prefix cache after its last use.
 const CACHE_TTL: Duration = Duration::from_secs(20);
@@ -142,35 +144,65 @@
     }
 }
 
-/// Requests that all other hosts together have in flight, by target.
+/// What all other hosts together report of the targets.
+#[derive(Default)]
+pub(crate) struct RemoteReports {
+    /// Requests that they have in flight, by target.
+    pub(crate) running: BTreeMap<TargetName, u32>,
+    /// The lowest limit that any of them reports, by target; of the target's newest run.
+    pub(crate) limits: ReportedLimits,
+    /// The live hosts, this one included, in the order of their names.
+    pub(crate) hosts: Vec<NodeName>,
+    /// A hash of `hosts`.
+    pub(crate) digest: u64,
+}
+
+impl RemoteReports {
+    fn read(view: &ClusterView, own: &NodeName) -> RemoteReports {
+        let mut reports = RemoteReports::default();
+        for node in view.live().filter(|it| it.node != *own) {
+            for load in &node.summary.targets {
+                *reports.running.entry(load.target.clone()).or_default() += u32::from(load.running);
+            }
+            for limit in &node.summary.limits {
+                let known = reports.limits.entry(limit.target.clone()).or_insert(limit.clone());
+                let rank = |it: &TargetLimit| (Reverse(it.start), it.milli_per_s);
+                if rank(limit) < rank(known) {
+                    *known = limit.clone();
+                }
+            }
+        }
+        reports.hosts = view.live().map(|it| it.node.clone()).collect();
+        let mut hasher = DefaultHasher::new();
+        reports.hosts.hash(&mut hasher);
+        reports.digest = hasher.finish();
+        reports
+    }
+}
+
+/// Caches the reports of the other hosts.
 ///
 /// Every choice of a target needs the totals of all candidates, and computing them reads the
 /// reports of all hosts, so the totals are cached and shared by many choices.
 #[derive(Default)]
 pub(crate) struct RemoteLoads {
     computed: Option<Duration>,
-    running: Arc<BTreeMap<TargetName, u32>>,
+    reports: Arc<RemoteReports>,
 }
 
 impl RemoteLoads {
-    /// Returns the totals, recomputed from `view` if they are older than [`TOTALS_TTL`].
-    pub(crate) fn totals(
+    /// Returns the reports, read again from `view` if they are older than [`TOTALS_TTL`].
+    pub(crate) fn reports(
         &mut self,
         view: &ClusterView,
         own: &NodeName,
         now: Duration,
-    ) -> Arc<BTreeMap<TargetName, u32>> {
+    ) -> Arc<RemoteReports> {
         if self.computed.is_none_or(|it| it + TOTALS_TTL <= now) {
-            let mut running = BTreeMap::new();
-            for node in view.live().filter(|it| it.node != *own) {
-                for load in &node.summary.targets {
-                    *running.entry(load.target.clone()).or_default() += u32::from(load.running);
-                }
-            }
-            self.running = Arc::new(running);
+            self.reports = Arc::new(RemoteReports::read(view, own));
             self.computed = Some(now);
         }
-        self.running.clone()
+        self.reports.clone()
     }
 }
 
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -48,6 +48,8 @@
     pub targets: IntGauge,
     /// Number of targets that said in a response that they are leaving.
     pub leaving_targets: IntCounter,
+    /// Number of targets that named this host a limit on their requests.
+    pub limited_targets: IntGauge,
     /// Number of nodes that the membership protocol considers alive, with this one.
     pub nodes: IntGauge,
 }
@@ -118,6 +120,10 @@
                 "rosethread_entry_leaving_targets_total",
                 "Targets that said in a response that they are leaving.",
             ),
+            limited_targets: gauge(
+                "rosethread_entry_limited_targets",
+                "Targets that named this host a limit on their requests.",
+            ),
             nodes: gauge("rosethread_entry_nodes", "Nodes believed to be alive."),
             registry,
         }
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -110,6 +110,9 @@
     pub result: Result<TargetResponse, SendError>,
     /// Whether the target said that it is leaving. A rejection or an error can say so as well.
     pub is_leaving: bool,
+    /// The requests per second that the target takes from all hosts together, if it said so, or why
+    /// what it said cannot be read.
+    pub limit: Result<Option<f64>, String>,
 }
 
 /// The client that sends requests to targets.
--- a/crates/rosethread_membership/src/lib.rs
+++ b/crates/rosethread_membership/src/lib.rs
@@ -14,5 +14,5 @@
 pub use detector::{Detector, DetectorConfig, OutgoingMessage};
 pub use message::{Message, MessageKind};
 pub use rendezvous::{rank_nodes, responsible_node, target_owner};
-pub use state::{ClusterView, Contact, NodeState, NodeSummary, Status, TargetLoad};
+pub use state::{ClusterView, Contact, NodeState, NodeSummary, Status, TargetLimit, TargetLoad};
 pub use wire::{AuthKeys, DatagramError, MAX_DATAGRAM};
--- a/crates/rosethread_membership/src/state.rs
+++ b/crates/rosethread_membership/src/state.rs
@@ -44,6 +44,17 @@
     pub waiting: u16,
 }
 
+/// The request rate that a target takes from all nodes together, as it told the reporting node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLimit {
+    /// The target.
+    pub target: TargetName,
+    /// The run of the target that named the limit.
+    pub start: Incarnation,
+    /// The rate, in thousandths of a request per second.
+    pub milli_per_s: u32,
+}
+
 /// The application data that a node reports about itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeSummary {
@@ -59,6 +70,8 @@
     pub power: u16,
     /// The load of the targets that the node owns.
     pub targets: Vec<TargetLoad>,
+    /// The limits that targets named to the node.
+    pub limits: Vec<TargetLimit>,
 }
 
 /// The latest report about one node.
--- a/crates/rosethread_node/src/control/periodic.rs
+++ b/crates/rosethread_node/src/control/periodic.rs
@@ -50,6 +50,7 @@
         has_log: core.journal.is_log_reachable(),
         power: 0,
         targets: target_loads(core),
+        limits: Vec::new(),
     }
 }
 
