Placement: compare the limited targets that this host may use

Where targets name limits, few of many hosts may send to each, and such a host compared only two drawn targets, so it rarely saw the one whose rate it held: at 195 hosts a quarter of the rates that targets took was used, while callers were refused. Others cannot choose such a target at the same time, so all of them can be compared without a herd.

Two pure tests failed before (a full fleet, one target with an own share, all draws). Without limits nothing changes.

--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -12,6 +12,7 @@
 use crate::{
     call::{Call, PromptSize},
     entry::Entry,
+    limits::Room,
     load::{RemoteReports, TargetStats},
     registry::{Target, TargetStatus},
     routes::Service,
@@ -87,8 +88,13 @@
             let prompt = call.prompt.as_ref();
             let candidate =
                 candidate(entry, it, stats, remote_running, prompt, home, max_connections);
-            let is_unavailable = candidate.is_unavailable || !has_room(entry, it, &remote, false);
-            Candidate { prefill_rate: 1.0 / per_token_s, is_unavailable, ..candidate }
+            let room = find_room(entry, it, &remote, false);
+            Candidate {
+                prefill_rate: 1.0 / per_token_s,
+                is_unavailable: candidate.is_unavailable || room == Room::None,
+                has_share: room == Room::OwnShare,
+                ..candidate
+            }
         })
         .collect();
     drop(loads);
@@ -105,7 +111,7 @@
     let strategy = strategy(entry.reloadable().policy);
     let placement = loop {
         let placement = choose_target(strategy, &candidates, request, weights)?;
-        if has_room(entry, usable[placement.index], &remote, true) {
+        if find_room(entry, usable[placement.index], &remote, true) != Room::None {
             break placement;
         }
         // Another call has taken the rest of this host's share since.
@@ -119,9 +125,9 @@
 
 /// Returns whether a target's limit, if it has one, leaves this host a request to send, and counts
 /// that request if `is_taken` is set.
-fn has_room(entry: &Entry, target: &Target, remote: &RemoteReports, is_taken: bool) -> bool {
+fn find_room(entry: &Entry, target: &Target, remote: &RemoteReports, is_taken: bool) -> Room {
     let sharers = entry.sharers(remote);
-    entry.limits.has_room(target, &remote.limits, sharers, entry.now(), is_taken)
+    entry.limits.find_room(target, &remote.limits, sharers, entry.now(), is_taken)
 }
 
 /// The targets that hold the shared parts of a call's prompt.
@@ -155,8 +161,8 @@
         Some(PartHolders { indices, holders })
     }
 
-    /// Leaves as candidates the holders with room, or the next targets in the ranking, and those
-    /// that cache more of the prompt than its shared parts.
+    /// Leaves as candidates the holders with room, or the next targets in the ranking, those that
+    /// cache more of the prompt than its shared parts, and those in whose rate this host has a share.
     fn restrict(
         &self,
         usable: &[&Target],
@@ -176,7 +182,10 @@
             let index = self.indices[&target.name];
             if allowed.contains(&index) {
                 candidate.cached = candidate.cached.max(self.holders.tokens(index));
-            } else if home != Some(&target.name) && candidate.cached <= shared {
+            } else if home != Some(&target.name)
+                && candidate.cached <= shared
+                && !candidate.has_share
+            {
                 candidate.is_unavailable = true;
             }
         }
--- a/crates/rosethread_entry/src/limits.rs
+++ b/crates/rosethread_entry/src/limits.rs
@@ -131,6 +131,17 @@
     Withdrawn,
 }
 
+/// Whether a target's limit leaves room for a request of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Room {
+    /// The target has no limit.
+    Unlimited,
+    /// This host's share of the limit has room.
+    OwnShare,
+    /// This host has no share, or has used it up.
+    None,
+}
+
 /// The limits of all targets, as this host knows them. All times are durations since its start.
 #[derive(Default)]
 pub(crate) struct TargetLimits(Mutex<BTreeMap<TargetName, LimitState>>);
@@ -179,35 +190,37 @@
         current_state(&mut states, target, now).rate(&target.name, reported, sharers, now)
     }
 
-    /// Returns whether this host may send a request to the target now, and counts it if
-    /// `is_taken` is set.
-    pub(crate) fn has_room(
+    /// Returns whether this host may send a request to the target now, and counts it against the
+    /// target's limit if `is_taken` is set.
+    pub(crate) fn find_room(
         &self,
         target: &Target,
         reported: &ReportedLimits,
         sharers: Sharers<'_>,
         now: Duration,
         is_taken: bool,
-    ) -> bool {
+    ) -> Room {
         let mut states = self.lock();
         if !states.contains_key(&target.name) && !reported.contains_key(&target.name) {
-            return true;
+            return Room::Unlimited;
         }
         let state = current_state(&mut states, target, now);
         let Some(per_s) = state.rate(&target.name, reported, sharers, now) else {
-            return true;
+            return Room::Unlimited;
         };
         state.used = now;
         let Some(share) = state.share(per_s, &target.name, sharers) else {
             state.bucket = TokenBucket::new(0.0, now);
-            return false;
+            return Room::None;
         };
         let mut bucket = state.bucket.clone();
-        let has_room = bucket.take(now, share.per_s, share.burst, 1.0).is_ok();
-        if has_room && is_taken {
+        if bucket.take(now, share.per_s, share.burst, 1.0).is_err() {
+            return Room::None;
+        }
+        if is_taken {
             state.bucket = bucket;
         }
-        has_room
+        Room::OwnShare
     }
 
     /// Returns the limits that targets named to this host, for its report to the others; those first
--- a/crates/rosethread_policy/src/place.rs
+++ b/crates/rosethread_policy/src/place.rs
@@ -35,6 +35,9 @@
     pub batch_slowdown: f64,
     /// Whether the target must not be chosen, because it fails or has no free connection.
     pub is_unavailable: bool,
+    /// Whether this host has a share of its own in the rate that the target takes. Then other hosts
+    /// can't choose it at the same time, and the share is lost unless it is used.
+    pub has_share: bool,
 }
 
 /// The call to place.
@@ -83,12 +86,14 @@
     match strategy {
         Strategy::Adaptive if candidates.iter().all(|it| it.cached == 0) => {
             let usable: Vec<(usize, &Candidate)> = usable.collect();
-            less_loaded_of_two(&usable, request.random)
+            less_loaded_of_drawn(&usable, request.random)
         }
         Strategy::Adaptive => {
             let max_cached = candidates.iter().map(|it| it.cached).max().unwrap_or(0);
             let cost = |it: &Candidate| cost(it, request, weights, max_cached);
+            let own_shares = usable.clone().filter(|(_, it)| it.has_share);
             draw_by_cache(usable, request.random)
+                .chain(own_shares)
                 .map(|(index, it)| Placement { index, cost: cost(it) })
                 .min_by(|a, b| a.cost.total_cmp(&b.cost))
         }
@@ -133,13 +138,14 @@
     [elements[first], elements[second]]
 }
 
-/// Draws two targets and chooses the less loaded one ("power of two choices").
+/// Draws two targets and chooses the less loaded one ("power of two choices"), or a target in whose
+/// rate this host has a share if that is less loaded.
 ///
 /// The load is the number of calls per slot; the network delay separates targets of equal load.
 ///
 /// A new program has no cached prompt anywhere, and the loads that nodes know are some hundred
 /// milliseconds old: the least loaded target would attract all new programs until the next update.
-fn less_loaded_of_two(usable: &[(usize, &Candidate)], random: usize) -> Option<Placement> {
+fn less_loaded_of_drawn(usable: &[(usize, &Candidate)], random: usize) -> Option<Placement> {
     if usable.is_empty() {
         return None;
     }
@@ -147,7 +153,9 @@
     let work = |it: &Candidate| {
         f64::from(it.running + it.waiting) / f64::from(it.slots.max(1)) + it.network_s
     };
-    let (index, _) = pair.into_iter().min_by(|a, b| work(a.1).total_cmp(&work(b.1)))?;
+    let own_shares = usable.iter().filter(|(_, it)| it.has_share).copied();
+    let (index, _) =
+        pair.into_iter().chain(own_shares).min_by(|a, b| work(a.1).total_cmp(&work(b.1)))?;
     Some(Placement { index, cost: 0.0 })
 }
 
--- a/crates/rosethread_policy/tests/limits.rs
+++ b/crates/rosethread_policy/tests/limits.rs
@@ -7,7 +7,10 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use rosethread_policy::{RateShare, TokenBucket, rate_share};
+use rosethread_policy::{
+    Candidate, PlacementRequest, RateShare, Strategy, TokenBucket, Weights, choose_target,
+    rate_share,
+};
 use rosethread_types::{NodeName, TargetName};
 
 /// The users' rule: in any 4 s a target gets at most 1.5 times its limit, and 5 requests more.
@@ -92,3 +95,34 @@
     many_hosts_with_lagging_views_keep_the_limit: (195, 4.4, Some(5));
     a_thousand_hosts_with_lagging_views_keep_the_limit: (1_000, 9.8, Some(5));
 });
+
+/// The targets among which a host chooses.
+const TARGETS: usize = 63;
+
+/// Chooses among targets of which all but one are full, and checks that the other one, in whose rate
+/// the host has a share, is chosen whatever targets are drawn.
+fn check_share_is_used(cached: u64, prompt_tokens: u64) {
+    let full = Candidate {
+        slots: 6,
+        running: 6,
+        cached,
+        prefill_rate: 100_000.0,
+        service_s: 1.0,
+        batch_slowdown: 0.4,
+        ..Candidate::default()
+    };
+    let mut candidates = vec![full; TARGETS];
+    candidates[17] = Candidate { running: 1, has_share: true, ..full };
+    let weights = Weights { latency: 1.0, waste: 0.0 };
+    for random in 0..TARGETS * TARGETS {
+        let request = PlacementRequest { prompt_tokens, home: None, random };
+        let placement = choose_target(Strategy::Adaptive, &candidates, request, weights).unwrap();
+        assert_eq!(placement.index, 17, "with {random}");
+    }
+}
+
+rosethread_cases::cases!(check_share_is_used {
+    // Guards against shares of a rate that expire because few hosts have them and draw other targets.
+    a_new_program_uses_the_share_of_a_limited_target: (0, 1_700);
+    a_program_with_a_shared_prompt_uses_the_share_of_a_limited_target: (12_600, 14_300);
+});
