Limits: read the other hosts' reports only where there are limits

Each host read the reports of all hosts every 100 ms for its own summary, to find out who sends to limited targets, also where no target had a limit: time in proportion to the number of hosts. Found by reading the diff, not measured. Weighing a request and taking its share are two functions now. Tests of limits and changes pass (9), those of the entry and the policy too.

--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -88,7 +88,7 @@
             let prompt = call.prompt.as_ref();
             let candidate =
                 candidate(entry, it, stats, remote_running, prompt, home, max_connections);
-            let room = find_room(entry, it, &remote, false);
+            let room = find_room(entry, it, &remote);
             Candidate {
                 prefill_rate: 1.0 / per_token_s,
                 is_unavailable: candidate.is_unavailable || room == Room::None,
@@ -111,7 +111,7 @@
     let strategy = strategy(entry.reloadable().policy);
     let placement = loop {
         let placement = choose_target(strategy, &candidates, request, weights)?;
-        if find_room(entry, usable[placement.index], &remote, true) != Room::None {
+        if take_room(entry, usable[placement.index], &remote) {
             break placement;
         }
         // Another call has taken the rest of this host's share since.
@@ -123,11 +123,14 @@
     Some(Choice { target: usable[placement.index].clone(), max_connections, estimate })
 }
 
-/// Returns whether a target's limit, if it has one, leaves this host a request to send, and counts
-/// that request if `is_taken` is set.
-fn find_room(entry: &Entry, target: &Target, remote: &RemoteReports, is_taken: bool) -> Room {
-    let sharers = entry.sharers(remote);
-    entry.limits.find_room(target, &remote.limits, sharers, entry.now(), is_taken)
+/// Returns whether a target's limit, if it has one, leaves this host a request to send.
+fn find_room(entry: &Entry, target: &Target, remote: &RemoteReports) -> Room {
+    entry.limits.find_room(target, &remote.limits, entry.sharers(remote), entry.now())
+}
+
+/// Counts a request against the target's limit, if it has one; returns whether it may be sent.
+fn take_room(entry: &Entry, target: &Target, remote: &RemoteReports) -> bool {
+    entry.limits.take_room(target, &remote.limits, entry.sharers(remote), entry.now())
 }
 
 /// The targets that hold the shared parts of a call's prompt.
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -6,7 +6,7 @@
 };
 
 use kameo::actor::ActorRef;
-use rosethread_membership::NodeSummary;
+use rosethread_membership::{NodeSummary, TargetLimit};
 use rosethread_runtime::{MembershipActor, SetSummary, Tick};
 
 use crate::entry::Entry;
@@ -31,7 +31,7 @@
             has_log: entry.is_log_reachable(),
             power: processor_percent(&entry),
             targets: entry.loads.summary(),
-            limits: entry.limits.report(entry.sharers(&entry.remote_reports()), entry.now()),
+            limits: report_limits(&entry),
         };
         entry.metrics.limited_targets.set(entry.limits.named_count() as i64);
         entry.metrics.nodes.set(entry.view().live().count() as i64);
@@ -41,6 +41,18 @@
     }
 }
 
+/// Returns the limits that targets named to this host.
+///
+/// The other hosts' reports, which decide who sends to these targets, are read only if there are any:
+/// that takes time in proportion to the number of hosts.
+fn report_limits(entry: &Entry) -> Vec<TargetLimit> {
+    if entry.limits.is_empty() {
+        return Vec::new();
+    }
+    let remote = entry.remote_reports();
+    entry.limits.report(entry.sharers(&remote), entry.now())
+}
+
 /// Returns the host's share of a processor, in percent; at least 1, as 0 means "unknown".
 fn processor_percent(entry: &Entry) -> u16 {
     (entry.reloadable().processor * 100.0).clamp(1.0, f64::from(u16::MAX)) as u16
--- a/crates/rosethread_entry/src/limits.rs
+++ b/crates/rosethread_entry/src/limits.rs
@@ -190,37 +190,42 @@
         current_state(&mut states, target, now).rate(&target.name, reported, sharers, now)
     }
 
-    /// Returns whether this host may send a request to the target now, and counts it against the
-    /// target's limit if `is_taken` is set.
+    /// Returns whether this host may send a request to the target now.
     pub(crate) fn find_room(
         &self,
         target: &Target,
         reported: &ReportedLimits,
         sharers: Sharers<'_>,
         now: Duration,
-        is_taken: bool,
     ) -> Room {
-        let mut states = self.lock();
-        if !states.contains_key(&target.name) && !reported.contains_key(&target.name) {
-            return Room::Unlimited;
-        }
-        let state = current_state(&mut states, target, now);
-        let Some(per_s) = state.rate(&target.name, reported, sharers, now) else {
-            return Room::Unlimited;
-        };
-        state.used = now;
-        let Some(share) = state.share(per_s, &target.name, sharers) else {
-            state.bucket = TokenBucket::new(0.0, now);
-            return Room::None;
-        };
-        let mut bucket = state.bucket.clone();
-        if bucket.take(now, share.per_s, share.burst, 1.0).is_err() {
-            return Room::None;
+        match weigh_request(&mut self.lock(), target, reported, sharers, now) {
+            Weighed::Unlimited => Room::Unlimited,
+            Weighed::Fits(..) => Room::OwnShare,
+            Weighed::Exceeds => Room::None,
         }
-        if is_taken {
-            state.bucket = bucket;
+    }
+
+    /// Counts a request to the target against this host's share, and returns whether it may be sent.
+    pub(crate) fn take_room(
+        &self,
+        target: &Target,
+        reported: &ReportedLimits,
+        sharers: Sharers<'_>,
+        now: Duration,
+    ) -> bool {
+        match weigh_request(&mut self.lock(), target, reported, sharers, now) {
+            Weighed::Unlimited => true,
+            Weighed::Fits(state, rest) => {
+                state.bucket = rest;
+                true
+            }
+            Weighed::Exceeds => false,
         }
-        Room::OwnShare
+    }
+
+    /// Returns whether nothing is known of any limit.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lock().is_empty()
     }
 
     /// Returns the limits that targets named to this host, for its report to the others; those first
@@ -248,6 +253,40 @@
     }
 }
 
+/// A request weighed against the limit of its target.
+enum Weighed<'a> {
+    Unlimited,
+    /// It fits into this host's share, of which the bucket is what it leaves.
+    Fits(&'a mut LimitState, TokenBucket),
+    Exceeds,
+}
+
+fn weigh_request<'a>(
+    states: &'a mut BTreeMap<TargetName, LimitState>,
+    target: &Target,
+    reported: &ReportedLimits,
+    sharers: Sharers<'_>,
+    now: Duration,
+) -> Weighed<'a> {
+    if !states.contains_key(&target.name) && !reported.contains_key(&target.name) {
+        return Weighed::Unlimited;
+    }
+    let state = current_state(states, target, now);
+    let Some(per_s) = state.rate(&target.name, reported, sharers, now) else {
+        return Weighed::Unlimited;
+    };
+    state.used = now;
+    let Some(share) = state.share(per_s, &target.name, sharers) else {
+        state.bucket = TokenBucket::new(0.0, now);
+        return Weighed::Exceeds;
+    };
+    let mut rest = state.bucket.clone();
+    match rest.take(now, share.per_s, share.burst, 1.0) {
+        Ok(()) => Weighed::Fits(state, rest),
+        Err(_) => Weighed::Exceeds,
+    }
+}
+
 /// Returns the state of the target's current run.
 fn current_state<'a>(
     states: &'a mut BTreeMap<TargetName, LimitState>,
