Log which failed attempts are the same call, and how far their output had come

`call: a target failed` now has `fingerprint`, a keyed digest of method, host, path, previous turn and body; with it `output_ms`, for how long the target had been sending output, and `running`. The digest is computed only for that line. The key is the hosts' shared one, so that nobody can guess bodies from a log.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -208,7 +208,7 @@
                 prepared.log_end("answered", status, &target, &attempts, None);
                 return Ok(CallResponse { status, headers, body: ResponseBody::Buffered(body) });
             }
-            Err(detail) => attempts.retry_or_refuse(&prepared, target, &detail)?,
+            Err(detail) => attempts.retry_or_refuse(&prepared, target, Duration::ZERO, &detail)?,
         }
     }
 }
--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -45,11 +45,13 @@
     /// Records a failure after which the call may have run.
     ///
     /// Returns a refusal if the call must not be sent again: it is not repeatable, its deadline has
-    /// passed, or it has used up the route's attempts.
+    /// passed, or it has used up the route's attempts. `output_time` is for how long the target had
+    /// been sending output.
     pub(crate) fn retry_or_refuse(
         &mut self,
         prepared: &PreparedCall,
         target: TargetName,
+        output_time: Duration,
         detail: &str,
     ) -> Result<(), Refusal> {
         self.possible_runs += 1;
@@ -63,7 +65,9 @@
             is_repeatable && !is_expired && self.possible_runs < prepared.route.attempts;
         info!(prepared.entry.logger, "call: a target failed"; "id" => %prepared.call.id,
             "target" => %target, "detail" => detail, "may_run_again" => may_retry,
-            "ran" => self.possible_runs);
+            "ran" => self.possible_runs, "output_ms" => output_time.as_millis() as u64,
+            "running" => self.estimate.running,
+            "fingerprint" => %prepared.entry.fingerprint(&prepared.call));
         if may_retry {
             return Ok(());
         }
@@ -144,6 +148,7 @@
                 attempts.retry_or_refuse(
                     prepared,
                     target.name,
+                    Duration::ZERO,
                     "the target returned a server error",
                 )?;
                 continue;
@@ -160,7 +165,7 @@
         match &error {
             SendError::MaybeRan(detail) => {
                 in_flight.record_failure(entry.now());
-                attempts.retry_or_refuse(prepared, target.name, detail)?;
+                attempts.retry_or_refuse(prepared, target.name, Duration::ZERO, detail)?;
                 continue;
             }
             SendError::NotSent(_) => in_flight.record_failure(entry.now()),
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use rosethread_config::KeySettings;
 use rosethread_membership::{ClusterView, Contact, Status};
 use rosethread_platform::{Clock, SharedLog};
 use rosethread_runtime::{DatagramTransport, RandomSource, TaskSpawner, Timer};
@@ -23,6 +24,8 @@
 };
 
 use crate::{
+    call::Call,
+    fingerprint::Fingerprint,
     history::TurnCache,
     limits::{Sharers, TargetLimits},
     load::{LoadTracker, RemoteLoads, RemoteReports},
@@ -96,6 +99,8 @@
     pub(crate) tasks: TaskSpawner,
     pub(crate) timer: Timer,
     pub(crate) random: RandomSource,
+    /// The first of the shared keys, under which all hosts compute the fingerprints of calls.
+    fingerprint_key: Vec<u8>,
     pub(crate) logger: Logger,
     pub(crate) metrics: Metrics,
     pub(crate) shared_log: Arc<dyn SharedLog>,
@@ -156,6 +161,7 @@
             active_calls: AtomicU32::new(0),
             response_memory: MemoryPool::new(RESPONSE_MEMORY_BYTES),
             reloadable: watch::Sender::new(Arc::new(dependencies.settings.reloadable())),
+            fingerprint_key: first_key(&dependencies.settings),
             settings: dependencies.settings,
             clock: dependencies.clock,
             shared_log: dependencies.shared_log,
@@ -312,6 +318,11 @@
         self.started_at.elapsed()
     }
 
+    /// Returns the fingerprint of a call.
+    pub(crate) fn fingerprint(&self, call: &Call) -> Fingerprint {
+        Fingerprint::of(call, &self.fingerprint_key)
+    }
+
     /// Returns the zone and addresses that this node announces to the other nodes.
     pub(crate) fn contact(&self) -> Contact {
         let addresses = &self.settings.addresses;
@@ -337,6 +348,11 @@
     }
 }
 
+/// Returns the first of the keys that the hosts share.
+fn first_key(settings: &EntrySettings) -> Vec<u8> {
+    KeySettings::decode(&settings.keys.shared).into_iter().next().unwrap_or_default()
+}
+
 /// Counts one call as in progress for as long as it exists.
 pub(crate) struct CallGuard(Arc<Entry>);
 
--- a/crates/rosethread_entry/src/load.rs
+++ b/crates/rosethread_entry/src/load.rs
@@ -116,6 +116,7 @@
             // With all slots taken, the time to the first event includes time in the queue.
             measures_prefill: choice.estimate.running < target.slots,
             started: Instant::now(),
+            first_output: None,
             is_recorded: false,
         }
     }
@@ -216,13 +217,21 @@
     /// Whether the time to the first event is a sample of the prefill time.
     measures_prefill: bool,
     started: Instant,
+    /// When the first part of the target's output arrived.
+    first_output: Option<Instant>,
     /// Whether the outcome has been recorded.
     is_recorded: bool,
 }
 
 impl InFlightRequest {
+    /// Returns for how long the target has been sending output; zero before the first part.
+    pub(crate) fn output_time(&self) -> Duration {
+        self.first_output.map_or(Duration::ZERO, |it| it.elapsed())
+    }
+
     /// Records the arrival of a stream event. Only the first one counts, as a prefill time sample.
-    pub(crate) fn record_prefill_time(&mut self) {
+    pub(crate) fn record_event(&mut self) {
+        self.first_output.get_or_insert_with(Instant::now);
         if !std::mem::replace(&mut self.measures_prefill, false) {
             return;
         }
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -164,7 +164,7 @@
     async fn next_event(&mut self) -> Result<Option<Event>, Refusal> {
         loop {
             if let Some(event) = self.buffer.next_event() {
-                self.dispatched.in_flight.record_prefill_time();
+                self.dispatched.in_flight.record_event();
                 // A target that resumes the stream may repeat events that the caller already has.
                 let is_duplicate = event.id.is_some() && event.id <= self.last_id;
                 if is_duplicate {
@@ -196,7 +196,8 @@
     async fn fail_over(&mut self, detail: &str) -> Result<(), Refusal> {
         self.dispatched.in_flight.record_failure(self.prepared.entry.now());
         let target = self.dispatched.target.name.clone();
-        self.attempts.retry_or_refuse(&self.prepared, target, detail)?;
+        let output_time = self.dispatched.in_flight.output_time();
+        self.attempts.retry_or_refuse(&self.prepared, target, output_time, detail)?;
         let dispatched = dispatch(&self.prepared, &mut self.attempts, self.last_id).await?;
         if !dispatched.response.is_stream || dispatched.response.status != 200 {
             let detail = format!("{} did not resume the stream", dispatched.target.name);
