Refuse calls that crash the targets which run them, at all hosts

Cause: nothing remembered what was starting at a target when it ended. An attempt that comes again has a new ID, at any host, and each host saw one crash of it or two.

Evidence: with fingerprints in the logs, the calls without output at the first crashes are few, and all that recur are for one path.

Change: a host that loses a starting call's connection asks whether the target's address refuses connections, and if so reports the call and the target's run; after three runs, with no attempt that ran to its end, all hosts refuse the call at once.

--- a/crates/rosethread_console/src/explain/cause.rs
+++ b/crates/rosethread_console/src/explain/cause.rs
@@ -42,6 +42,7 @@
         "deadline-exceeded" => {
             format!("its deadline passed: {detail}{}.", failed_attempts(decisions))
         }
+        "crashes-targets" => format!("targets crash when they run it: {detail}."),
         "unknown-turn" => format!("the turn that it continues is not kept: {detail}."),
         "unknown-route" => format!("no route was in force for it: {detail}."),
         "no-document" => "the node had just started and knew no routes.".to_owned(),
--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -17,6 +17,7 @@
     entry::Entry,
     ports::TargetResponse,
     stream::{self, StreamInterrupted},
+    suspects,
 };
 
 pub(crate) use dispatch::{Attempts, Dispatched, dispatch};
@@ -193,29 +194,35 @@
 
 /// Prepares and dispatches a call, and retries it if a buffered response breaks off.
 async fn run_call(entry: &Arc<Entry>, call: Call) -> Result<CallResponse, Refusal> {
+    suspects::refuse_deadly(entry, &call)?;
     let prepared = Arc::new(PreparedCall::prepare(entry, call).await?);
     entry.loads.observe_prompt(&prepared.service, &prepared.call, entry.now());
     let mut attempts = Attempts::default();
     loop {
-        let dispatched = dispatch(&prepared, &mut attempts, prepared.call.resume_after).await?;
+        let mut dispatched = dispatch(&prepared, &mut attempts, prepared.call.resume_after).await?;
         if dispatched.response.is_stream && dispatched.response.status == 200 {
             return stream::open(prepared, attempts, dispatched).await;
         }
         let (status, headers) = (dispatched.response.status, dispatched.response.headers.clone());
         let target = dispatched.target.name.clone();
-        match read_body(&prepared, dispatched).await {
+        let result = read_body(&prepared, &mut dispatched).await;
+        let output_time = dispatched.in_flight.output_time();
+        drop(dispatched);
+        match result {
             Ok(body) => {
+                suspects::clear_completed(&prepared);
                 prepared.log_end("answered", status, &target, &attempts, None);
                 return Ok(CallResponse { status, headers, body: ResponseBody::Buffered(body) });
             }
-            Err(detail) => attempts.retry_or_refuse(&prepared, target, Duration::ZERO, &detail)?,
+            Err(detail) => attempts.retry_or_refuse(&prepared, target, output_time, &detail)?,
         }
     }
 }
 
 /// Buffers a whole body, so that a failure is noticed before the caller sees any of it.
-async fn read_body(prepared: &PreparedCall, mut dispatched: Dispatched) -> Result<Bytes, String> {
+async fn read_body(prepared: &PreparedCall, dispatched: &mut Dispatched) -> Result<Bytes, String> {
     use futures::StreamExt;
+    dispatched.in_flight.record_output();
     let TargetResponse { body, .. } = &mut dispatched.response;
     let mut buffered = bytes::BytesMut::new();
     let mut memory = prepared.entry.response_memory.reserve();
--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -15,6 +15,7 @@
     load::InFlightRequest,
     ports::{SendError, SendReply, TargetRequest, TargetResponse},
     registry::Target,
+    suspects,
 };
 
 /// Number of rejected sends after which the call is refused.
@@ -67,7 +68,11 @@
             "target" => %target, "detail" => detail, "may_run_again" => may_retry,
             "ran" => self.possible_runs, "output_ms" => output_time.as_millis() as u64,
             "running" => self.estimate.running,
-            "fingerprint" => %prepared.entry.fingerprint(&prepared.call));
+            "fingerprint" => %prepared.entry.fingerprint(&prepared.call),
+            "path_fingerprint" => %prepared.entry.path_fingerprint(&prepared.call));
+        if !is_expired {
+            suspects::inspect_failure(prepared, &target, output_time);
+        }
         if may_retry {
             return Ok(());
         }
@@ -109,6 +114,12 @@
             let detail = "the deadline passed before a target responded".to_owned();
             return Err(attempts.refuse(prepared, Reason::DeadlineExceeded, detail));
         }
+        if let Err(refusal) = suspects::refuse_deadly(entry, &prepared.call) {
+            if attempts.possible_runs == 0 {
+                return Err(refusal);
+            }
+            return Err(attempts.refuse(prepared, refusal.reason, refusal.detail));
+        }
         let home = prepared.home.as_ref();
         let Some(choice) =
             select_target(entry, &prepared.call, &prepared.service, home, &attempts.excluded)
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -7,9 +7,10 @@
 
 use kameo::actor::ActorRef;
 use rosethread_membership::{NodeSummary, TargetLimit};
-use rosethread_runtime::{MembershipActor, SetSummary, Tick};
+use rosethread_runtime::{Announce, MembershipActor, SetSummary, Tick};
+use slog::{info, warn};
 
-use crate::entry::Entry;
+use crate::{entry::Entry, fingerprint::Fingerprint};
 
 /// The period at which the summary for the peers is updated.
 const SUMMARY_PERIOD: Duration = Duration::from_millis(100);
@@ -33,6 +34,11 @@
             targets: entry.loads.summary(),
             limits: report_limits(&entry),
         };
+        let pending = entry.suspects.take_pending();
+        if !pending.is_empty() && members.tell(Announce(pending)).await.is_err() {
+            return;
+        }
+        update_suspects(&entry);
         entry.metrics.limited_targets.set(entry.limits.named_count() as i64);
         entry.metrics.nodes.set(entry.view().live().count() as i64);
         if members.tell(SetSummary(summary)).await.is_err() {
@@ -41,6 +47,19 @@
     }
 }
 
+/// Applies what the hosts have told each other of calls that crash targets.
+fn update_suspects(entry: &Entry) {
+    let (refused, cleared) = entry.suspects.update(&entry.view());
+    for (call, crashes) in refused {
+        warn!(entry.logger, "suspects: refusing a call that crashes targets";
+            "fingerprint" => %Fingerprint(call), "crashes" => crashes);
+    }
+    for (call, crashes) in cleared {
+        info!(entry.logger, "suspects: a call is refused no longer";
+            "fingerprint" => %Fingerprint(call), "crashes" => crashes);
+    }
+}
+
 /// Returns the limits that targets named to this host.
 ///
 /// The other hosts' reports, which decide who sends to these targets, are read only if there are any:
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -37,6 +37,7 @@
     routes::Routes,
     settings::{EntrySettings, ReloadableSettings},
     shards::Shards,
+    suspects::SuspectedCalls,
 };
 
 /// Time without a response from the store after which this host counts as cut off from the shared
@@ -128,6 +129,8 @@
     pub(crate) loads: LoadTracker,
     /// The request rates that targets in need have named.
     pub(crate) limits: TargetLimits,
+    /// The calls that are suspected of crashing targets.
+    pub(crate) suspects: SuspectedCalls,
     /// The load of each target from other hosts, cached for a short time.
     remote_loads: Mutex<RemoteLoads>,
     pub(crate) shards: Shards,
@@ -155,6 +158,7 @@
             phase: watch::Sender::new(Phase::Serving),
             loads: LoadTracker::default(),
             limits: TargetLimits::default(),
+            suspects: SuspectedCalls::default(),
             remote_loads: Mutex::default(),
             shards: Shards::default(),
             turns: TurnCache::default(),
@@ -318,9 +322,14 @@
         self.started_at.elapsed()
     }
 
-    /// Returns the fingerprint of a call.
+    /// Returns the fingerprint that all attempts of a call share.
     pub(crate) fn fingerprint(&self, call: &Call) -> Fingerprint {
-        Fingerprint::of(call, &self.fingerprint_key)
+        Fingerprint::of_call(call, &self.fingerprint_key)
+    }
+
+    /// Returns the fingerprint of a call's path.
+    pub(crate) fn path_fingerprint(&self, call: &Call) -> Fingerprint {
+        Fingerprint::of_path(call, &self.fingerprint_key)
     }
 
     /// Returns the zone and addresses that this node announces to the other nodes.
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -37,6 +37,7 @@
 mod settings;
 mod shards;
 mod stream;
+mod suspects;
 mod turns;
 
 pub use call::{Call, CallResponse, ProgramContext, PromptSize, ResponseBody};
--- a/crates/rosethread_entry/src/load.rs
+++ b/crates/rosethread_entry/src/load.rs
@@ -229,9 +229,14 @@
         self.first_output.map_or(Duration::ZERO, |it| it.elapsed())
     }
 
+    /// Records that the target sends output.
+    pub(crate) fn record_output(&mut self) {
+        self.first_output.get_or_insert_with(Instant::now);
+    }
+
     /// Records the arrival of a stream event. Only the first one counts, as a prefill time sample.
     pub(crate) fn record_event(&mut self) {
-        self.first_output.get_or_insert_with(Instant::now);
+        self.record_output();
         if !std::mem::replace(&mut self.measures_prefill, false) {
             return;
         }
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -50,6 +50,10 @@
     pub leaving_targets: IntCounter,
     /// Number of targets that named this host a limit on their requests.
     pub limited_targets: IntGauge,
+    /// Number of calls of this host that were starting at a target as it crashed.
+    pub crashes: IntCounter,
+    /// Number of calls refused because targets crash under them.
+    pub deadly_calls: IntCounter,
     /// Number of nodes that the membership protocol considers alive, with this one.
     pub nodes: IntGauge,
 }
@@ -124,6 +128,14 @@
                 "rosethread_entry_limited_targets",
                 "Targets that named this host a limit on their requests.",
             ),
+            crashes: counter(
+                "rosethread_entry_crashes_total",
+                "Calls that were starting at a target as it crashed.",
+            ),
+            deadly_calls: counter(
+                "rosethread_entry_deadly_calls_total",
+                "Calls refused because targets crash under them.",
+            ),
             nodes: gauge("rosethread_entry_nodes", "Nodes believed to be alive."),
             registry,
         }
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -123,6 +123,10 @@
     /// Dropping the future cancels the request at the target.
     async fn send(&self, target: &Target, request: TargetRequest<'_>) -> SendReply;
 
+    /// Returns whether a target's address refuses connections, which shows that its process has
+    /// ended. Without a reply in time nothing is shown, as the network may be the cause.
+    async fn refuses_connections(&self, target: &Target) -> bool;
+
     /// Closes the idle connections to a target that left, restarted or moved to another address.
     ///
     /// Requests in progress keep their connections.
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -14,7 +14,7 @@
         Attempts, CallResponse, Dispatched, PreparedCall, ResponseBody, dispatch, uncertain_refusal,
     },
     events::{Event, EventBuffer},
-    history,
+    history, suspects,
     turns::FinishedTurn,
 };
 
@@ -127,6 +127,7 @@
             };
         }
         self.dispatched.in_flight.record_success();
+        suspects::clear_completed(&self.prepared);
         self.store_turn().await?;
         Ok("answered")
     }
--- a/crates/rosethread_membership/src/detector.rs
+++ b/crates/rosethread_membership/src/detector.rs
@@ -14,7 +14,10 @@
 
 use rosethread_types::{Incarnation, NodeName, ZoneName};
 
-use crate::{ClusterView, Contact, Message, MessageKind, NodeState, NodeSummary, Status, wire};
+use crate::{
+    AgedNotice, ClusterView, Contact, Message, MessageKind, NodeState, NodeSummary, Notice, Status,
+    notices::NoticeBoard, wire,
+};
 
 /// The most nodes that are asked to probe a node which has not acknowledged a ping.
 ///
@@ -23,6 +26,9 @@
 /// `docs/design/membership.md`.
 const MAX_RELAYS: usize = 5;
 
+/// The number of nodes that hear of a new notice at once. The others hear of it by gossip.
+const ANNOUNCE_FANOUT: usize = 8;
+
 /// How many times a status change is sent with priority; after that it only fills spare room.
 const MAX_TRANSMISSIONS: u32 = 8;
 
@@ -98,6 +104,7 @@
     last_number: u64,
     rng_state: u64,
     suspicions: u64,
+    notices: NoticeBoard,
 }
 
 impl Detector {
@@ -123,6 +130,7 @@
             last_number: 0,
             rng_state: seed | 1,
             suspicions: 0,
+            notices: NoticeBoard::default(),
         }
     }
 
@@ -134,6 +142,19 @@
         }
     }
 
+    /// Tells all nodes of facts that this node has learned just now, a few of them at once.
+    pub fn announce(&mut self, now: Duration, notices: &[Notice]) -> Vec<OutgoingMessage> {
+        let mut is_news = false;
+        for notice in notices {
+            is_news |= self.notices.add(now, AgedNotice { notice: *notice, age: Duration::ZERO });
+        }
+        if !is_news {
+            return Vec::new();
+        }
+        let to = self.pick_alive(ANNOUNCE_FANOUT, None);
+        to.into_iter().map(|it| self.ping_address(now, it)).collect()
+    }
+
     /// Announces that this node takes no new work.
     pub fn leave(&mut self) {
         self.own_state.status = Status::Leaving;
@@ -161,9 +182,9 @@
     ///
     /// The acknowledgement carries the host's report, which adds it to the known nodes. A host that
     /// is gone doesn't answer and is never added.
-    pub fn ping_address(&mut self, to: SocketAddr) -> OutgoingMessage {
+    pub fn ping_address(&mut self, now: Duration, to: SocketAddr) -> OutgoingMessage {
         self.last_number += 1;
-        self.build_message(to, MessageKind::Ping, self.last_number)
+        self.build_message(now, to, MessageKind::Ping, self.last_number)
     }
 
     /// Marks `node` as leaving, as the platform's host list says, so that it gets no new work.
@@ -186,7 +207,7 @@
         let mut nodes: BTreeMap<NodeName, NodeState> =
             self.peers.iter().map(|(name, it)| (name.clone(), it.state.clone())).collect();
         nodes.insert(self.own_state.node.clone(), self.own_state.clone());
-        ClusterView { nodes }
+        ClusterView { nodes, notices: self.notices.list() }
     }
 
     /// Returns whether all nodes of another zone, at least two, are suspect or dead.
@@ -207,6 +228,7 @@
         self.check_pending_probe(now);
         self.expire_suspects(now);
         self.prune(now);
+        self.notices.expire(now);
         let Some(subject) = self.next_probe_subject() else {
             return Vec::new();
         };
@@ -214,13 +236,13 @@
         let number = self.last_number;
         self.pending_probe = Some(PendingProbe { subject: subject.clone(), number, sent: now });
         let to = self.peers[&subject].state.contact.heartbeat;
-        vec![self.build_message(to, MessageKind::Ping, number)]
+        vec![self.build_message(now, to, MessageKind::Ping, number)]
     }
 
     /// Repeats the ping of a node that has not acknowledged, and asks other nodes to probe it.
     ///
     /// Call it half a period after each [`tick`](Detector::tick).
-    pub fn retry_probe(&mut self, _now: Duration) -> Vec<OutgoingMessage> {
+    pub fn retry_probe(&mut self, now: Duration) -> Vec<OutgoingMessage> {
         let Some(pending_probe) = &self.pending_probe else {
             return Vec::new();
         };
@@ -228,10 +250,10 @@
         let Some(to) = self.peers.get(&subject).map(|it| it.state.contact.heartbeat) else {
             return Vec::new();
         };
-        let mut outgoing = vec![self.build_message(to, MessageKind::Ping, number)];
+        let mut outgoing = vec![self.build_message(now, to, MessageKind::Ping, number)];
         let kind = MessageKind::Probe { subject: subject.clone() };
-        for relay in self.pick_relays(&subject) {
-            outgoing.push(self.build_message(relay, kind.clone(), number));
+        for relay in self.pick_alive(MAX_RELAYS, Some(&subject)) {
+            outgoing.push(self.build_message(now, relay, kind.clone(), number));
         }
         outgoing
     }
@@ -246,10 +268,13 @@
         for state in message.states {
             self.merge_report(now, state);
         }
+        for notice in message.notices {
+            self.notices.add(now, notice);
+        }
         match message.kind {
             MessageKind::Ping => {
                 let kind = MessageKind::Ack { subject: self.own_state.node.clone() };
-                vec![self.build_message(from, kind, message.number)]
+                vec![self.build_message(now, from, kind, message.number)]
             }
             MessageKind::Ack { subject } => {
                 self.handle_ack(now, &sender_name, &subject, message.number)
@@ -280,7 +305,7 @@
         match self.relayed.remove(&number) {
             Some(relay) => {
                 let kind = MessageKind::Ack { subject: subject.clone() };
-                vec![self.build_message(relay.origin, kind, relay.origin_number)]
+                vec![self.build_message(now, relay.origin, kind, relay.origin_number)]
             }
             None => Vec::new(),
         }
@@ -310,7 +335,7 @@
         self.last_number += 1;
         let number = self.last_number;
         self.relayed.insert(number, RelayedProbe { origin, origin_number, sent: now });
-        vec![self.build_message(to, MessageKind::Ping, number)]
+        vec![self.build_message(now, to, MessageKind::Ping, number)]
     }
 
     /// Suspects the probed node if it has not acknowledged within the period.
@@ -380,14 +405,15 @@
         }
     }
 
-    fn pick_relays(&mut self, subject: &NodeName) -> Vec<SocketAddr> {
+    /// Returns the addresses of up to `max` random nodes that are alive, other than `subject`.
+    fn pick_alive(&mut self, max: usize, subject: Option<&NodeName>) -> Vec<SocketAddr> {
         let mut candidates: Vec<SocketAddr> = self
             .peers
             .values()
-            .filter(|it| it.state.status == Status::Alive && it.state.node != *subject)
+            .filter(|it| it.state.status == Status::Alive && Some(&it.state.node) != subject)
             .map(|it| it.state.contact.heartbeat)
             .collect();
-        let count = MAX_RELAYS.min(candidates.len());
+        let count = max.min(candidates.len());
         for index in 0..count {
             let other = index + self.next_random() as usize % (candidates.len() - index);
             candidates.swap(index, other);
@@ -445,10 +471,18 @@
     }
 
     /// Builds a message with as many reports as fit: recent status changes first, then the reports
-    /// that were sent least often.
-    fn build_message(&mut self, to: SocketAddr, kind: MessageKind, number: u64) -> OutgoingMessage {
+    /// that were sent least often. Notices go before other nodes' reports: there are seldom any.
+    fn build_message(
+        &mut self,
+        now: Duration,
+        to: SocketAddr,
+        kind: MessageKind,
+        number: u64,
+    ) -> OutgoingMessage {
         let mut states = vec![self.own_state.clone()];
         let mut room = wire::MAX_STATES_BYTES.saturating_sub(wire::state_bytes(&self.own_state));
+        let notices = self.notices.pick(now, room);
+        room -= wire::notices_bytes(&notices);
         let seed = self.next_random();
         let rank = |(index, (name, it)): (u64, (&NodeName, &Peer))| {
             let is_status_news =
@@ -471,6 +505,6 @@
             peer.transmissions = peer.transmissions.saturating_add(1);
             states.push(peer.state.clone());
         }
-        OutgoingMessage { to, message: Message { kind, number, states } }
+        OutgoingMessage { to, message: Message { kind, number, states, notices } }
     }
 }
--- a/crates/rosethread_membership/src/lib.rs
+++ b/crates/rosethread_membership/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod detector;
 mod message;
+mod notices;
 mod rendezvous;
 mod state;
 mod wire;
 
 pub use detector::{Detector, DetectorConfig, OutgoingMessage};
 pub use message::{Message, MessageKind};
+pub use notices::{AgedNotice, NOTICE_LIFETIME, Notice};
 pub use rendezvous::{rank_nodes, responsible_node, target_owner};
 pub use state::{ClusterView, Contact, NodeState, NodeSummary, Status, TargetLimit, TargetLoad};
 pub use wire::{AuthKeys, DatagramError, MAX_DATAGRAM};
--- a/crates/rosethread_membership/src/message.rs
+++ b/crates/rosethread_membership/src/message.rs
@@ -3,7 +3,7 @@
 use rosethread_types::NodeName;
 use serde::{Deserialize, Serialize};
 
-use crate::NodeState;
+use crate::{AgedNotice, NodeState};
 
 /// The type of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,4 +31,7 @@
     pub number: u64,
     /// The sender's own report, followed by gossip about other nodes.
     pub states: Vec<NodeState>,
+    /// Facts for all nodes, which are encoded behind the rest of the message.
+    #[serde(skip)]
+    pub notices: Vec<AgedNotice>,
 }
--- a/crates/rosethread_membership/src/state.rs
+++ b/crates/rosethread_membership/src/state.rs
@@ -5,6 +5,8 @@
 use rosethread_types::{Incarnation, NodeName, Revision, TargetName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use crate::Notice;
+
 /// A node's availability zone and network addresses.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
@@ -104,6 +106,8 @@
 pub struct ClusterView {
     /// The nodes by name.
     pub nodes: BTreeMap<NodeName, NodeState>,
+    /// The facts that any of them has told all others, in order.
+    pub notices: Vec<Notice>,
 }
 
 impl ClusterView {
--- a/crates/rosethread_membership/src/wire.rs
+++ b/crates/rosethread_membership/src/wire.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-use crate::{Message, NodeState};
+use crate::{
+    AgedNotice, Message, NodeState,
+    notices::{EncodedNotice, MAX_ENCODED_BYTES},
+};
 
 /// The largest datagram, in bytes.
 ///
@@ -68,7 +71,12 @@
     /// Encodes and signs a message; `now_ms` is the sender's wall-clock time in milliseconds.
     pub fn encode(&self, message: &Message, now_ms: u64) -> Vec<u8> {
         let datagram = Datagram { sent_ms: now_ms, message: message.clone() };
-        let body = postcard::to_stdvec(&datagram).expect("a message serialises");
+        let mut body = postcard::to_stdvec(&datagram).expect("a message serialises");
+        // Nodes of releases without notices ignore what follows the message.
+        if !message.notices.is_empty() {
+            let notices: Vec<_> = message.notices.iter().map(AgedNotice::encode).collect();
+            body = postcard::to_extend(&notices, body).expect("notices serialise");
+        }
         let mut bytes = compute_mac(&self.0[0], &body).to_vec();
         bytes.extend_from_slice(&body);
         bytes
@@ -90,14 +98,20 @@
         if !is_genuine {
             return Err(DatagramError::BadMac);
         }
-        let datagram: Datagram =
-            postcard::from_bytes(body).map_err(|_| DatagramError::Malformed)?;
+        let (mut datagram, rest): (Datagram, &[u8]) =
+            postcard::take_from_bytes(body).map_err(|_| DatagramError::Malformed)?;
         if MAX_CLOCK_SKEW_MS < datagram.sent_ms.abs_diff(now_ms) {
             return Err(DatagramError::Stale);
         }
         if MAX_STATES < datagram.message.states.len() {
             return Err(DatagramError::Malformed);
         }
+        if !rest.is_empty() {
+            // What follows the notices belongs to a later release.
+            let (notices, _): (Vec<EncodedNotice>, &[u8]) =
+                postcard::take_from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
+            datagram.message.notices = notices.iter().filter_map(AgedNotice::decode).collect();
+        }
         Ok(datagram.message)
     }
 }
@@ -115,3 +129,8 @@
 pub(crate) fn state_bytes(state: &NodeState) -> usize {
     postcard::experimental::serialized_size(state).unwrap_or(usize::MAX)
 }
+
+/// Returns an upper bound on the encoded size of notices in bytes.
+pub(crate) fn notices_bytes(notices: &[AgedNotice]) -> usize {
+    notices.len() * MAX_ENCODED_BYTES
+}
--- a/crates/rosethread_membership/tests/detector.rs
+++ b/crates/rosethread_membership/tests/detector.rs
@@ -243,7 +243,7 @@
             };
             (name(index), state)
         });
-        ClusterView { nodes: nodes.collect() }
+        ClusterView { nodes: nodes.collect(), notices: Vec::new() }
     };
     let (before, after) = (view(None), view(Some(4)));
     let zone = "zone-1".parse().unwrap();
--- a/crates/rosethread_node/src/api/problem.rs
+++ b/crates/rosethread_node/src/api/problem.rs
@@ -63,7 +63,9 @@
 
 fn status_code(refusal: &Refusal) -> StatusCode {
     match refusal.reason {
-        Reason::BadRequest | Reason::BadContinuation => StatusCode::BAD_REQUEST,
+        Reason::BadRequest | Reason::BadContinuation | Reason::CrashesTargets => {
+            StatusCode::BAD_REQUEST
+        }
         Reason::Unauthorized => StatusCode::UNAUTHORIZED,
         Reason::Forbidden => StatusCode::FORBIDDEN,
         Reason::UnknownProgram | Reason::UnknownRoute | Reason::UnknownTurn => {
--- a/crates/rosethread_policy/src/lib.rs
+++ b/crates/rosethread_policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod rate;
 mod retry;
 mod spread;
+mod suspects;
 
 pub use admission::{AdmissionRequest, Forecast, admit, should_shed};
 pub use breaker::{BreakerConfig, CircuitBreaker};
@@ -32,6 +33,7 @@
 pub use rate::{TokenBucket, local_share};
 pub use retry::{RetryBudget, backoff};
 pub use spread::{HostLoad, order_hosts};
+pub use suspects::{MAX_CRASHES, Suspects, Suspicion, was_starting};
 
 /// How targets and queued calls are chosen; all but [`Strategy::Adaptive`] are baselines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/rosethread_runtime/src/lib.rs
+++ b/crates/rosethread_runtime/src/lib.rs
@@ -12,7 +12,8 @@
 mod transport;
 
 pub use membership::{
-    Leave, MembershipActor, MembershipParts, NodeList, PingAddresses, SetSummary, start_membership,
+    Announce, Leave, MembershipActor, MembershipParts, NodeList, PingAddresses, SetSummary,
+    start_membership,
 };
 pub use random::RandomSource;
 pub use tasks::TaskSpawner;
--- a/crates/rosethread_runtime/src/membership.rs
+++ b/crates/rosethread_runtime/src/membership.rs
@@ -12,7 +12,7 @@
 use kameo::prelude::*;
 use rosethread_membership::{
     AuthKeys, ClusterView, Contact, Detector, DetectorConfig, Message as Datagram, NodeSummary,
-    OutgoingMessage,
+    Notice, OutgoingMessage,
 };
 use rosethread_platform::Clock;
 use rosethread_types::{Incarnation, NodeName};
@@ -89,6 +89,9 @@
 /// Message: pings addresses whose nodes are not known yet; nodes become known by their answers.
 pub struct PingAddresses(pub Vec<SocketAddr>);
 
+/// Message: tells all nodes of facts that this node has learned.
+pub struct Announce(pub Vec<Notice>);
+
 /// Message: this node takes no new work from now on, and tells the others so.
 pub struct Leave;
 
@@ -250,6 +253,17 @@
     }
 }
 
+impl Message<Announce> for MembershipActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Announce, _ctx: &mut Context<MembershipActor, ()>) {
+        let now = self.now();
+        let outgoing = self.detector.announce(now, &message.0);
+        self.send(outgoing);
+        self.publish();
+    }
+}
+
 impl Message<Leave> for MembershipActor {
     type Reply = ();
 
@@ -264,8 +278,9 @@
 
     async fn handle(&mut self, message: PingAddresses, _ctx: &mut Context<MembershipActor, ()>) {
         let own = self.parts.contact.heartbeat;
+        let now = self.now();
         let others = message.0.into_iter().filter(|it| *it != own);
-        let pings = others.map(|it| self.detector.ping_address(it)).collect();
+        let pings = others.map(|it| self.detector.ping_address(now, it)).collect();
         self.send(pings);
     }
 }
--- a/crates/rosethread_testbed/examples/slopes.rs
+++ b/crates/rosethread_testbed/examples/slopes.rs
@@ -200,6 +200,7 @@
             kind: rosethread_membership::MessageKind::Ping,
             number: 1,
             states: states[..count].to_vec(),
+            notices: Vec::new(),
         };
         keys.encode(&message, 0).len()
     };
--- a/crates/rosethread_types/src/outcome.rs
+++ b/crates/rosethread_types/src/outcome.rs
@@ -78,6 +78,8 @@
     UnknownTurn,
     /// an earlier attempt at this request left no outcome
     OutcomeUnknown,
+    /// targets crash when they run this request
+    CrashesTargets,
 }
 
 impl Reason {
