Log the version of a target's software, and which attempt a call resumes

`targets: updated` and `call: ended` now have `software`, the version in the target's registration, and `call: ended` has `resumes`, the attempt that brought the first event of a stream that its caller takes up. Nothing decides by them yet. Reports between hosts leave the version out, so that their bytes are as before.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -81,6 +81,8 @@
     pub timeout: Option<Duration>,
     /// For a resumed stream, the identifier of the last event that the caller received.
     pub resume_after: Option<u64>,
+    /// For a resumed stream, the attempt that brought its first event.
+    pub resumes: Option<RequestId>,
     /// Size of the prompt, for calls to a model engine.
     pub prompt: Option<PromptSize>,
     /// The program that the call belongs to, if any.
@@ -204,7 +206,7 @@
             return stream::open(prepared, attempts, dispatched).await;
         }
         let (status, headers) = (dispatched.response.status, dispatched.response.headers.clone());
-        let target = dispatched.target.name.clone();
+        let target = dispatched.target.clone();
         let result = read_body(&prepared, &mut dispatched).await;
         let output_time = dispatched.in_flight.output_time();
         drop(dispatched);
@@ -214,7 +216,9 @@
                 prepared.log_end("answered", status, &target, &attempts, None);
                 return Ok(CallResponse { status, headers, body: ResponseBody::Buffered(body) });
             }
-            Err(detail) => attempts.retry_or_refuse(&prepared, target, output_time, &detail)?,
+            Err(detail) => {
+                attempts.retry_or_refuse(&prepared, target.name, output_time, &detail)?
+            }
         }
     }
 }
--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -18,6 +18,7 @@
     grants::{self, AskedHosts},
     history,
     ledger::{GrantId, GrantRequest, Settlement, Verdict},
+    registry::Target,
     routes::{Route, Routes},
     shards::shard_of,
 };
@@ -153,7 +154,7 @@
         &self,
         outcome: &str,
         status: u16,
-        target: &TargetName,
+        target: &Target,
         attempts: &Attempts,
         first_event: Option<Duration>,
     ) {
@@ -170,7 +171,9 @@
         info!(entry.logger, "call: ended"; "id" => %call.id, "program" => program,
             "previous" => previous, "budget" => budget, "route" => &*self.route.name,
             "routes" => self.routes.revision.0,
-            "target" => %target, "home" => self.home.as_ref().map_or("", |it| it.as_str()),
+            "target" => %target.name,
+            "software" => target.software.as_ref().map_or("", |it| it.as_str()),
+            "resumes" => call.resumes.as_ref().map_or("", |it| it.as_str()), "home" => self.home.as_ref().map_or("", |it| it.as_str()),
             "outcome" => outcome, "status" => status, "sends" => attempts.sends,
             "rank" => self.rank,
             "tokens" => self.grant.as_ref().map_or(0, Grant::used),
--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -105,7 +105,8 @@
         }
         info!(entry.logger, "targets: updated"; "target" => %name, "service" => %target.service,
             "status" => ?target.status, "start" => target.start.0, "version" => target.version,
-            "address" => %target.address);
+            "address" => %target.address,
+            "software" => target.software.as_ref().map_or("", |it| it.as_str()));
     }
     entry.metrics.targets.set(targets.len() as i64);
     if is_changed {
--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -17,7 +17,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use rosethread_types::{Incarnation, ServiceName, TargetName, ZoneName};
+use rosethread_types::{Incarnation, ServiceName, SoftwareVersion, TargetName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// The grace period for targets to register again after the store has recovered.
@@ -51,6 +51,10 @@
     pub start: Incarnation,
     /// The version of the registration within the run; a larger one is newer.
     pub version: u64,
+    /// The version of the target's software; `None` if the registration names none. Reports between
+    /// nodes leave it out.
+    #[serde(skip)]
+    pub software: Option<SoftwareVersion>,
     /// The remaining warm-up time when the registration was written; until then the target is
     /// slower than usual.
     pub cold: Duration,
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -97,11 +97,10 @@
                 "interrupted"
             }
         };
-        let target = self.dispatched.target.name.clone();
         self.prepared.log_end(
             outcome,
             self.dispatched.response.status,
-            &target,
+            &self.dispatched.target,
             &self.attempts,
             self.first_latency,
         );
--- a/crates/rosethread_entry/tests/fingerprint.rs
+++ b/crates/rosethread_entry/tests/fingerprint.rs
@@ -19,6 +19,7 @@
         arrived: Instant::now(),
         timeout: None,
         resume_after: None,
+        resumes: None,
         prompt: None,
         program: None,
         previous: None,
--- a/crates/rosethread_entry/tests/registry.rs
+++ b/crates/rosethread_entry/tests/registry.rs
@@ -15,6 +15,7 @@
         status: TargetStatus::Ready,
         start: Incarnation(start),
         version,
+        software: None,
         cold: Duration::ZERO,
     }
 }
--- a/crates/rosethread_types/src/id.rs
+++ b/crates/rosethread_types/src/id.rs
@@ -144,6 +144,9 @@
     ProgramLabel;
     /// The caller's name for one sequence of turns within a program.
     SessionLabel;
+    /// The version of the software that a target runs. What two versions of one service write does
+    /// not fit together in one stream.
+    SoftwareVersion;
     /// An identifier of one part of a prompt.
     ///
     /// Prompts that begin with the same parts have a common prefix, which an engine can cache once.
--- a/crates/rosethread_types/src/lib.rs
+++ b/crates/rosethread_types/src/lib.rs
@@ -14,6 +14,7 @@
 pub use digest::Digest;
 pub use id::{
     AttemptId, Incarnation, ProgramId, ProgramLabel, PromptPart, RequestId, SessionLabel,
+    SoftwareVersion,
 };
 pub use name::{
     ClassName, MemberName, ModelName, NameError, NodeName, ServiceName, StreamName, TargetName,
