Bind a stream to the version of the software that began it, over a loss of its host too

Cause: nothing read the version in a target's registration or the attempt that a call resumes. Reading them is not enough: the only host that knew a stream's version may be the one that was lost.

Change: a stream may go on only at the version that sent its first event. While a service has more than one, the host that forwards a first event tells two others, named by rendezvous hashing of the attempt; a host that does not know a stream asks the first four of the ranking. What cannot go on is refused at once. A host with one version in sight sends nothing. New requests go over a connection of their own, and versions of targets follow a frame's reply, so that hosts of the last release are not disturbed; tested with its bytes. The list of targets is now replaced when anything but report number and warm-up time changes: it kept the old version before.

Why it works: the version outlives its host, and where it doesn't the stream is refused, which the caller can mend with a new one.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -201,7 +201,9 @@
     entry.loads.observe_prompt(&prepared.service, &prepared.call, entry.now());
     let mut attempts = Attempts::default();
     loop {
-        let mut dispatched = dispatch(&prepared, &mut attempts, prepared.call.resume_after).await?;
+        let mut dispatched =
+            dispatch(&prepared, &mut attempts, prepared.call.resume_after, &prepared.allowed)
+                .await?;
         if dispatched.response.is_stream && dispatched.response.status == 200 {
             return stream::open(prepared, attempts, dispatched).await;
         }
@@ -217,7 +219,7 @@
                 return Ok(CallResponse { status, headers, body: ResponseBody::Buffered(body) });
             }
             Err(detail) => {
-                attempts.retry_or_refuse(&prepared, target.name, output_time, &detail)?
+                attempts.retry_or_refuse(&prepared, target.name, output_time, &detail)?;
             }
         }
     }
--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -13,6 +13,7 @@
     entry::Entry,
     limits::LimitChange,
     load::InFlightRequest,
+    origins::AllowedSoftware,
     ports::{SendError, SendReply, TargetRequest, TargetResponse},
     registry::Target,
     suspects,
@@ -101,11 +102,13 @@
 
 /// Sends a call to one target after another until one responds.
 ///
-/// For a stream that is resumed, `resume_after` is the identifier of the last event received.
+/// For a stream that is resumed, `resume_after` is the identifier of the last event received, and
+/// `allowed` the version of the software that began it.
 pub(crate) async fn dispatch(
     prepared: &PreparedCall,
     attempts: &mut Attempts,
     resume_after: Option<u64>,
+    allowed: &AllowedSoftware,
 ) -> Result<Dispatched, Refusal> {
     let entry = &prepared.entry;
     loop {
@@ -121,9 +124,14 @@
             return Err(attempts.refuse(prepared, refusal.reason, refusal.detail));
         }
         let home = prepared.home.as_ref();
-        let Some(choice) =
-            select_target(entry, &prepared.call, &prepared.service, home, &attempts.excluded)
-        else {
+        let Some(choice) = select_target(
+            entry,
+            &prepared.call,
+            &prepared.service,
+            home,
+            allowed,
+            &attempts.excluded,
+        ) else {
             let detail = format!(
                 "no target of {} is available after {} sends",
                 prepared.service, attempts.sends
--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -18,6 +18,7 @@
     grants::{self, AskedHosts},
     history,
     ledger::{GrantId, GrantRequest, Settlement, Verdict},
+    origins::{self, AllowedSoftware},
     registry::Target,
     routes::{Route, Routes},
     shards::shard_of,
@@ -64,6 +65,8 @@
     pub(crate) starts_chain: bool,
     /// The shard of the call's program; zero for a call without a program.
     pub(crate) shard: u32,
+    /// The versions of the software that may run the call.
+    pub(crate) allowed: AllowedSoftware,
     /// The target that most likely caches the session's prompt, according to the program's owner.
     pub(crate) home: Option<TargetName>,
     /// The rank among the engine's requests; a lower number is served earlier.
@@ -92,6 +95,7 @@
         let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let deadline = call.arrived + timeout;
         refuse_during_outage(entry, &call, &route, timeout)?;
+        let allowed = origins::find_allowed(entry, &call, &service).await?;
         let shard = call.program.as_ref().map_or(0, |it| shard_of(entry, &it.program));
         let (body, starts_chain) = target_body(entry, &call, &route, shard, deadline).await?;
         let admission = admit(entry, &call, &route, shard, deadline).await?;
@@ -104,6 +108,7 @@
         Ok(PreparedCall {
             entry: entry.clone(),
             rank: rank(&route, admission.underway),
+            allowed,
             home: admission.home,
             grant: admission.grant,
             call,
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -14,6 +14,7 @@
     entry::Entry,
     limits::Room,
     load::{RemoteReports, TargetStats},
+    origins::AllowedSoftware,
     registry::{Target, TargetStatus},
     routes::Service,
 };
@@ -52,7 +53,7 @@
     pub(crate) per_token_s: f64,
 }
 
-/// Chooses a ready target of `service` that is not in `excluded`.
+/// Chooses a ready target of `service` that runs allowed software and is not in `excluded`.
 ///
 /// `home` is the target that most likely caches the session's prompt.
 pub(crate) fn select_target(
@@ -60,6 +61,7 @@
     call: &Call,
     service: &ServiceName,
     home: Option<&TargetName>,
+    allowed: &AllowedSoftware,
     excluded: &[TargetName],
 ) -> Option<Choice> {
     let routes = entry.routes();
@@ -67,7 +69,10 @@
     let view = entry.view();
     let max_connections = connection_limit(routes.services.get(service), &view);
     let usable = |it: &&Target| {
-        it.service == *service && it.status == TargetStatus::Ready && !excluded.contains(&it.name)
+        it.service == *service
+            && it.status == TargetStatus::Ready
+            && allowed.allows(&it.software)
+            && !excluded.contains(&it.name)
     };
     let mut usable: Vec<&Target> = targets.values().filter(usable).collect();
     if usable.is_empty() {
--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -1,14 +1,15 @@
 //! Keeps the list of registered targets up to date, from the store or, in an outage, from a peer.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use rosethread_platform::SharedLogError;
 use rosethread_runtime::Tick;
-use rosethread_types::TargetName;
+use rosethread_types::{ServiceName, TargetName};
 use slog::{info, warn};
 
 use crate::{
     entry::Entry,
+    origins::{self, SoftwareByService},
     peers::{PeerReply, PeerRequest},
     ports::TargetChanges,
     registry::Target,
@@ -57,7 +58,7 @@
 }
 
 /// Updates the registry with changes from the store.
-fn apply_changes(entry: &Entry, changes: TargetChanges) {
+fn apply_changes(entry: &Arc<Entry>, changes: TargetChanges) {
     let now = entry.now();
     let mut removed = Vec::new();
     {
@@ -81,9 +82,9 @@
 }
 
 /// Makes the registry's targets the ones that calls can use, and logs the changes.
-fn publish_targets(entry: &Entry, removed: &[TargetName]) {
+fn publish_targets(entry: &Arc<Entry>, removed: &[TargetName]) {
     // Held to the end, so that calls and the control thread don't publish in the wrong order.
-    let registry = entry.registry.lock().expect("the lock is not poisoned");
+    let mut registry = entry.registry.lock().expect("the lock is not poisoned");
     let targets = registry.targets();
     let old = entry.targets();
     for name in removed {
@@ -93,8 +94,9 @@
     let mut is_changed = targets.len() != old.len();
     for (name, target) in &targets {
         let previous = old.get(name);
+        // A target's reports change its registration's version all the time, and its warm-up time.
         let is_same = previous.is_some_and(|it| {
-            it.status == target.status && it.start == target.start && it.address == target.address
+            *it == Target { version: it.version, cold: it.cold, ..target.clone() }
         });
         if is_same {
             continue;
@@ -108,14 +110,35 @@
             "address" => %target.address,
             "software" => target.software.as_ref().map_or("", |it| it.as_str()));
     }
+    publish_software(entry, registry.software(entry.now()));
     entry.metrics.targets.set(targets.len() as i64);
     if is_changed {
         entry.targets.send_replace(Arc::new(targets));
     }
 }
 
+/// Publishes the versions of the software of all services. Other hosts hear of the streams under way
+/// when a service has a second one.
+fn publish_software(entry: &Arc<Entry>, software: SoftwareByService) {
+    let before = entry.software.borrow().clone();
+    if *before == software {
+        return;
+    }
+    let count = |all: &SoftwareByService, it: &ServiceName| all.get(it).map_or(0, BTreeSet::len);
+    let is_mixed_now = |it: &ServiceName| count(&before, it) == 1 && 1 < count(&software, it);
+    let has_news = software.keys().any(is_mixed_now);
+    for (service, versions) in &software {
+        info!(entry.logger, "targets: versions of a service"; "service" => %service,
+            "software" => ?versions);
+    }
+    entry.software.send_replace(Arc::new(software));
+    if has_news {
+        origins::tell_recent(entry);
+    }
+}
+
 /// Excludes a target from new calls because it said in a response that it is leaving.
-pub(crate) fn exclude_leaving(entry: &Entry, target: &Target) {
+pub(crate) fn exclude_leaving(entry: &Arc<Entry>, target: &Target) {
     let is_new = {
         let mut registry = entry.registry.lock().expect("the lock is not poisoned");
         registry.record_leaving(&target.name, target.start, entry.now())
@@ -139,7 +162,7 @@
 }
 
 /// Asks a random peer for its targets, and applies them if its list is newer.
-async fn fetch_from_peer(entry: &Entry) {
+async fn fetch_from_peer(entry: &Arc<Entry>) {
     let view = entry.view();
     let peers: Vec<_> = view.live().filter(|it| it.node != entry.settings.node).collect();
     if peers.is_empty() {
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -4,7 +4,7 @@
 //! and the registrations of targets.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, AtomicU64, Ordering},
@@ -16,7 +16,7 @@
 use rosethread_membership::{ClusterView, Contact, Status};
 use rosethread_platform::{Clock, SharedLog};
 use rosethread_runtime::{DatagramTransport, RandomSource, TaskSpawner, Timer};
-use rosethread_types::{Incarnation, TargetName};
+use rosethread_types::{Incarnation, RequestId, ServiceName, TargetName};
 use slog::{Logger, info, warn};
 use tokio::{
     sync::{Notify, watch},
@@ -31,6 +31,7 @@
     load::{LoadTracker, RemoteLoads, RemoteReports},
     memory::MemoryPool,
     metrics::Metrics,
+    origins::{Origins, Software, SoftwareByService},
     peers::PeerClient,
     ports::{RoutesSource, TargetsSource, Upstream},
     registry::{Target, TargetRegistry},
@@ -129,6 +130,10 @@
     pub(crate) loads: LoadTracker,
     /// The request rates that targets in need have named.
     pub(crate) limits: TargetLimits,
+    /// The versions of software at which streams began.
+    pub(crate) origins: Origins,
+    /// The versions of software of each service.
+    pub(crate) software: watch::Sender<Arc<SoftwareByService>>,
     /// The calls that are suspected of crashing targets.
     pub(crate) suspects: SuspectedCalls,
     /// The load of each target from other hosts, cached for a short time.
@@ -158,6 +163,8 @@
             phase: watch::Sender::new(Phase::Serving),
             loads: LoadTracker::default(),
             limits: TargetLimits::default(),
+            origins: Origins::default(),
+            software: watch::Sender::new(Arc::default()),
             suspects: SuspectedCalls::default(),
             remote_loads: Mutex::default(),
             shards: Shards::default(),
@@ -327,6 +334,16 @@
         Fingerprint::of_call(call, &self.fingerprint_key)
     }
 
+    /// Returns the fingerprint of one attempt.
+    pub(crate) fn attempt_fingerprint(&self, id: &RequestId) -> Fingerprint {
+        Fingerprint::of_attempt(id, &self.fingerprint_key)
+    }
+
+    /// Returns the versions that the targets of a service run or ran a short time ago.
+    pub(crate) fn software(&self, service: &ServiceName) -> BTreeSet<Software> {
+        self.software.borrow().get(service).cloned().unwrap_or_default()
+    }
+
     /// Returns the fingerprint of a call's path.
     pub(crate) fn path_fingerprint(&self, call: &Call) -> Fingerprint {
         Fingerprint::of_path(call, &self.fingerprint_key)
--- a/crates/rosethread_entry/src/fingerprint.rs
+++ b/crates/rosethread_entry/src/fingerprint.rs
@@ -4,6 +4,7 @@
 
 use hmac::{Hmac, KeyInit, Mac};
 use http::header;
+use rosethread_types::RequestId;
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
@@ -27,6 +28,11 @@
         digest(call, key, &[b"call", previous.as_bytes(), &call.body])
     }
 
+    /// Returns the fingerprint of one attempt.
+    pub(crate) fn of_attempt(id: &RequestId, key: &[u8]) -> Fingerprint {
+        keyed_digest(key, [DOMAIN, b"attempt", id.as_str().as_bytes()].into_iter())
+    }
+
     /// Returns the fingerprint that all calls of a caller for one path share.
     pub fn of_path(call: &Call, key: &[u8]) -> Fingerprint {
         digest(call, key, &[b"path"])
@@ -35,7 +41,6 @@
 
 /// Returns a digest of `parts`, and of the caller, the method, the host and the path of a call.
 fn digest(call: &Call, key: &[u8], parts: &[&[u8]]) -> Fingerprint {
-    let mut hmac = Hmac::<Sha256>::new_from_slice(key).expect("any key length is accepted");
     let caller = call.headers.get(header::AUTHORIZATION).map_or(&[][..], |it| it.as_bytes());
     let common: [&[u8]; 5] = [
         DOMAIN,
@@ -44,7 +49,15 @@
         call.host.as_bytes(),
         call.path.as_bytes(),
     ];
-    for part in common.iter().chain(parts) {
+    keyed_digest(key, common.iter().chain(parts).copied())
+}
+
+fn keyed_digest<'a, P>(key: &[u8], parts: P) -> Fingerprint
+where
+    P: Iterator<Item = &'a [u8]>,
+{
+    let mut hmac = Hmac::<Sha256>::new_from_slice(key).expect("any key length is accepted");
+    for part in parts {
         // The length keeps bytes from moving between parts unnoticed.
         hmac.update(&(part.len() as u64).to_le_bytes());
         hmac.update(part);
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod load;
 mod memory;
 mod metrics;
+mod origins;
 mod pace;
 mod peers;
 pub mod ports;
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -50,6 +50,8 @@
     pub leaving_targets: IntCounter,
     /// Number of targets that named this host a limit on their requests.
     pub limited_targets: IntGauge,
+    /// Number of streams refused because no target may go on with them.
+    pub lost_streams: IntCounter,
     /// Number of calls of this host that were starting at a target as it crashed.
     pub crashes: IntCounter,
     /// Number of calls refused because targets crash under them.
@@ -128,6 +130,10 @@
                 "rosethread_entry_limited_targets",
                 "Targets that named this host a limit on their requests.",
             ),
+            lost_streams: counter(
+                "rosethread_entry_lost_streams_total",
+                "Streams refused because no target may go on with them.",
+            ),
             crashes: counter(
                 "rosethread_entry_crashes_total",
                 "Calls that were starting at a target as it crashed.",
--- /dev/null
+++ b/crates/rosethread_entry/src/origins.rs
@@ -0,0 +1,245 @@
+//! Finds out at which version of the software a stream began, so that it goes on only there.
+//!
+//! The host that forwards the first event of a stream knows the version, but may be gone when the
+//! caller takes the stream up at another host. While targets of a service run more than one version,
+//! it therefore tells two other hosts, which all hosts can name: see [`select_replicas`]. See
+//! `docs/design/versions.md`.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use futures::{StreamExt, stream::FuturesUnordered};
+use rosethread_policy::select_replicas;
+use rosethread_types::{NodeName, Reason, Refusal, RequestId, ServiceName, SoftwareVersion};
+use slog::{info, warn};
+use tokio::time::timeout;
+
+use crate::{
+    call::Call,
+    entry::Entry,
+    fingerprint::Fingerprint,
+    peers::{PeerReply, PeerRequest},
+    registry::TargetStatus,
+};
+
+/// The hosts that are told of a stream's version, beside the one that forwards the stream.
+const REPLICAS: usize = 2;
+
+/// The hosts that are asked for it: one of those told may have been lost, or not be known here yet.
+const ASKED_HOSTS: usize = REPLICAS + 2;
+
+/// The time in which the asked hosts answer. A host that was lost a moment ago does not.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long a stream's version is kept: longer than callers wait for the end of a stream.
+const ORIGIN_LIFETIME: Duration = Duration::from_secs(60);
+
+/// The age up to which a stream may still be under way when a second version appears.
+const MAX_STREAM_AGE: Duration = Duration::from_secs(15);
+
+/// The most streams whose version is kept; beyond them the oldest quarter is dropped.
+const MAX_ORIGINS: usize = 20_000;
+
+/// The most streams in one request to another host.
+const MAX_TOLD: usize = 1_000;
+
+/// The retry delay for a caller whose stream cannot go on: only a new stream helps, so that the
+/// next attempt should fail soon.
+const LOST_STREAM_RETRY: Duration = Duration::from_millis(20);
+
+/// A version of software; `None` for targets whose registration names none.
+pub(crate) type Software = Option<SoftwareVersion>;
+
+/// The versions that may run a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AllowedSoftware {
+    /// Nothing of the stream has been sent yet, or there is only one version.
+    Any,
+    /// The version that began the stream.
+    Only(Software),
+}
+
+impl AllowedSoftware {
+    /// Returns whether a target with this version may run the call.
+    pub(crate) fn allows(&self, software: &Software) -> bool {
+        match self {
+            AllowedSoftware::Any => true,
+            AllowedSoftware::Only(allowed) => allowed == software,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Origin {
+    software: Software,
+    recorded: Duration,
+    /// Whether this host forwarded the stream, rather than being told of it.
+    is_own: bool,
+}
+
+/// The versions at which streams began, by a digest of the attempt that brought the first event.
+#[derive(Default)]
+pub(crate) struct Origins(Mutex<BTreeMap<u64, Origin>>);
+
+impl Origins {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, Origin>> {
+        self.0.lock().expect("no holder of the origins lock panics")
+    }
+
+    fn record(&self, key: u64, software: Software, is_own: bool, now: Duration) {
+        let mut origins = self.lock();
+        origins.insert(key, Origin { software, recorded: now, is_own });
+        if MAX_ORIGINS < origins.len() {
+            // A quarter at once, so that finding the oldest costs little per stream.
+            let mut times: Vec<Duration> = origins.values().map(|it| it.recorded).collect();
+            let (_, cutoff, _) = times.select_nth_unstable(MAX_ORIGINS / 4);
+            let cutoff = *cutoff;
+            origins.retain(|_, it| cutoff < it.recorded);
+        }
+    }
+
+    /// Returns the version at which the stream `key` began, if this host knows it.
+    pub(crate) fn find(&self, key: u64) -> Option<Software> {
+        self.lock().get(&key).map(|it| it.software.clone())
+    }
+
+    /// Records what other hosts told.
+    pub(crate) fn record_told(&self, told: Vec<(u64, Software)>, now: Duration) {
+        told.into_iter().for_each(|(key, software)| self.record(key, software, false, now));
+    }
+
+    /// Removes the streams that are too old to be taken up, and returns how many are left.
+    pub(crate) fn expire(&self, now: Duration) -> usize {
+        let mut origins = self.lock();
+        origins.retain(|_, it| now < it.recorded + ORIGIN_LIFETIME);
+        origins.len()
+    }
+
+    /// Returns the streams that this host has forwarded of late.
+    fn recent(&self, now: Duration) -> Vec<(u64, Software)> {
+        let origins = self.lock();
+        let is_recent = |it: &Origin| it.is_own && now < it.recorded + MAX_STREAM_AGE;
+        let recent = origins.iter().filter(|(_, it)| is_recent(it));
+        recent.map(|(key, it)| (*key, it.software.clone())).collect()
+    }
+}
+
+/// The digest under which hosts keep the version of the stream that `attempt` began.
+fn origin_key(entry: &Entry, attempt: &RequestId) -> u64 {
+    let Fingerprint(key) = entry.attempt_fingerprint(attempt);
+    key
+}
+
+/// Records the version of the target that sent the first event of a call's stream, and tells other
+/// hosts if it matters.
+pub(crate) fn record_start(
+    entry: &Arc<Entry>,
+    call: &Call,
+    service: &ServiceName,
+    software: Software,
+) {
+    let attempt = call.resumes.as_ref().unwrap_or(&call.id);
+    let key = origin_key(entry, attempt);
+    entry.origins.record(key, software.clone(), true, entry.now());
+    if 1 < entry.software(service).len() {
+        tell(entry, vec![(key, software)]);
+    }
+}
+
+/// Tells other hosts of the streams under way, as a service has more than one version from now on.
+pub(crate) fn tell_recent(entry: &Arc<Entry>) {
+    let recent = entry.origins.recent(entry.now());
+    info!(entry.logger, "origins: a second version appeared"; "streams" => recent.len());
+    for part in recent.chunks(MAX_TOLD) {
+        tell(entry, part.to_vec());
+    }
+}
+
+/// Sends the versions of streams to the hosts that keep them.
+fn tell(entry: &Arc<Entry>, origins: Vec<(u64, Software)>) {
+    let view = entry.view();
+    let own = &entry.settings.node;
+    let mut told: BTreeMap<&NodeName, Vec<(u64, Software)>> = BTreeMap::new();
+    for (key, software) in &origins {
+        let hosts = view.live().map(|it| &it.node).filter(|it| *it != own);
+        for host in select_replicas(*key, hosts, REPLICAS) {
+            told.entry(host).or_default().push((*key, software.clone()));
+        }
+    }
+    for (host, origins) in told {
+        let Some(to) = view.get(host).map(|it| it.contact.peer) else {
+            continue;
+        };
+        let (entry, host) = (entry.clone(), host.clone());
+        entry.tasks.clone().spawn(async move {
+            let count = origins.len();
+            if let Err(error) = entry.peers.request(to, PeerRequest::NoteOrigins { origins }).await
+            {
+                info!(entry.logger, "origins: a host was not told"; "host" => %host,
+                    "streams" => count, "error" => %error);
+            }
+        });
+    }
+}
+
+/// Returns the versions that may run a call: for a stream that its caller takes up, the one that
+/// began it. Refuses a stream that cannot go on.
+pub(crate) async fn find_allowed(
+    entry: &Arc<Entry>,
+    call: &Call,
+    service: &ServiceName,
+) -> Result<AllowedSoftware, Refusal> {
+    if call.resume_after.is_none() || entry.software(service).len() <= 1 {
+        return Ok(AllowedSoftware::Any);
+    }
+    let refuse = |detail: String| {
+        entry.metrics.lost_streams.inc();
+        Err(Refusal::not_run(Reason::NoTarget, detail).retry_after(LOST_STREAM_RETRY))
+    };
+    let Some(attempt) = &call.resumes else {
+        return refuse("the call does not say which attempt began the stream".to_owned());
+    };
+    let key = origin_key(entry, attempt);
+    let found = match entry.origins.find(key) {
+        Some(software) => Some(software),
+        None => ask_hosts(entry, key).await,
+    };
+    let Some(software) = found else {
+        warn!(entry.logger, "origins: no host knows where a stream began"; "id" => %call.id,
+            "resumes" => %attempt);
+        return refuse(format!("no host knows the version of {service} that began {attempt}"));
+    };
+    let targets = entry.targets();
+    let mut ready = targets.values().filter(|it| it.status == TargetStatus::Ready);
+    if !ready.any(|it| it.service == *service && it.software == software) {
+        let version = software.as_ref().map_or("without a version", |it| it.as_str());
+        return refuse(format!("no target of {service} runs {version}, which began {attempt}"));
+    }
+    Ok(AllowedSoftware::Only(software))
+}
+
+/// Asks the hosts that may keep a stream's version, all at once, and returns the first answer.
+async fn ask_hosts(entry: &Arc<Entry>, key: u64) -> Option<Software> {
+    let view = entry.view();
+    let own = &entry.settings.node;
+    let hosts = view.live().map(|it| &it.node).filter(|it| *it != own);
+    let asked = select_replicas(key, hosts, ASKED_HOSTS);
+    let contacts = asked.into_iter().filter_map(|it| view.get(it)).map(|it| it.contact.peer);
+    let mut replies: FuturesUnordered<_> =
+        contacts.map(|to| entry.peers.request(to, PeerRequest::FindOrigin { key })).collect();
+    let first = async {
+        while let Some(reply) = replies.next().await {
+            if let Ok(PeerReply::Origin(Some(software))) = reply {
+                return Some(software);
+            }
+        }
+        None
+    };
+    timeout(ANSWER_TIMEOUT, first).await.unwrap_or(None)
+}
+
+/// The versions that the targets of each service run or ran a short time ago.
+pub(crate) type SoftwareByService = BTreeMap<ServiceName, BTreeSet<Software>>;
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -14,7 +14,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use displaydoc::Display;
-use rosethread_types::{NodeName, RequestId};
+use rosethread_types::{NodeName, RequestId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -101,6 +101,26 @@
     Routes,
     /// Return the known targets.
     Targets,
+    /// Keep the versions of the software at which streams began.
+    NoteOrigins {
+        /// The digests of the attempts that brought the first events, with the versions.
+        origins: Vec<(u64, Option<SoftwareVersion>)>,
+    },
+    /// Return the version of the software at which a stream began.
+    FindOrigin {
+        /// The digest of the attempt that brought the first event.
+        key: u64,
+    },
+}
+
+impl PeerRequest {
+    /// Returns whether nodes of the last release know the request.
+    ///
+    /// They close the connection on one that they don't know, so that it must not share one with
+    /// requests that they do.
+    fn is_known_to_last_release(&self) -> bool {
+        !matches!(self, PeerRequest::NoteOrigins { .. } | PeerRequest::FindOrigin { .. })
+    }
 }
 
 /// The reply to a [`PeerRequest`].
@@ -131,6 +151,37 @@
     /// The node could not carry out the request, and why. It may not own the shard, or the log may
     /// be unavailable.
     Unable(String),
+    /// The version of the software at which a stream began, if the node knows it.
+    Origin(Option<Option<SoftwareVersion>>),
+}
+
+impl PeerReply {
+    /// Encodes the reply to request `id`. The versions of targets' software follow it, where nodes of
+    /// the last release don't look.
+    pub fn encode(&self, id: u64) -> Result<Vec<u8>, postcard::Error> {
+        let frame = postcard::to_stdvec(&(id, self))?;
+        match self {
+            PeerReply::Targets { targets, .. } => {
+                let software: Vec<_> = targets.iter().map(|it| &it.software).collect();
+                postcard::to_extend(&software, frame)
+            }
+            _ => Ok(frame),
+        }
+    }
+
+    /// Decodes a reply and the ID of its request.
+    pub fn decode(frame: &[u8]) -> Result<(u64, PeerReply), postcard::Error> {
+        let ((id, mut reply), rest): ((u64, PeerReply), &[u8]) = postcard::take_from_bytes(frame)?;
+        if let PeerReply::Targets { targets, .. } = &mut reply
+            && !rest.is_empty()
+        {
+            let software: Vec<Option<SoftwareVersion>> = postcard::from_bytes(rest)?;
+            for (target, software) in targets.iter_mut().zip(software) {
+                target.software = software;
+            }
+        }
+        Ok((id, reply))
+    }
 }
 
 /// Sends requests to other nodes.
--- a/crates/rosethread_entry/src/peers/client.rs
+++ b/crates/rosethread_entry/src/peers/client.rs
@@ -44,7 +44,8 @@
 #[derive(Default)]
 struct Connections {
     next_id: u64,
-    open: BTreeMap<SocketAddr, Connection>,
+    /// By address, and whether nodes of the last release know the connection's requests.
+    open: BTreeMap<(SocketAddr, bool), Connection>,
 }
 
 /// A [`PeerClient`] over TCP; clones share the connections.
@@ -58,8 +59,8 @@
         self.connections.lock().expect("the lock is not poisoned")
     }
 
-    async fn connection(&self, to: SocketAddr) -> Result<Connection, PeerError> {
-        if let Some(connection) = self.lock().open.get(&to)
+    async fn connection(&self, to: SocketAddr, is_known: bool) -> Result<Connection, PeerError> {
+        if let Some(connection) = self.lock().open.get(&(to, is_known))
             && !connection.frames.is_closed()
         {
             return Ok(connection.clone());
@@ -76,7 +77,7 @@
         let mut connections = self.lock();
         connections.next_id += 1;
         let connection = Connection { id: connections.next_id, frames, pending, last_received };
-        connections.open.insert(to, connection.clone());
+        connections.open.insert((to, is_known), connection.clone());
         Ok(connection)
     }
 
@@ -85,17 +86,14 @@
     /// A dead connection may never report an error. The ID is compared because another request may
     /// have replaced the connection already.
     fn remove_connection(&self, to: SocketAddr, id: u64) {
-        let mut connections = self.lock();
-        if connections.open.get(&to).is_some_and(|it| it.id == id) {
-            connections.open.remove(&to);
-        }
+        self.lock().open.retain(|(address, _), it| *address != to || it.id != id);
     }
 }
 
 #[async_trait]
 impl PeerClient for TcpPeerClient {
     async fn request(&self, to: SocketAddr, request: PeerRequest) -> Result<PeerReply, PeerError> {
-        let connection = self.connection(to).await?;
+        let connection = self.connection(to, request.is_known_to_last_release()).await?;
         let (sender, receiver) = oneshot::channel();
         let id = {
             let mut connections = self.lock();
@@ -155,7 +153,7 @@
 }
 
 fn deliver_reply(frame: &[u8], pending: &PendingReplies) {
-    let Ok((id, reply)) = postcard::from_bytes::<(u64, PeerReply)>(frame) else {
+    let Ok((id, reply)) = PeerReply::decode(frame) else {
         return;
     };
     let sender = pending.lock().expect("the lock is not poisoned").remove(&id);
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -44,10 +44,19 @@
     let (replies, receiver) = mpsc::channel(MAX_QUEUED_REPLIES);
     entry.tasks.spawn(write_replies(sink, receiver));
     while let Some(Ok(frame)) = stream.next().await {
-        let Ok((id, request)) = postcard::from_bytes::<(u64, PeerRequest)>(&frame) else {
+        let Ok((id, request)) = postcard::take_from_bytes::<u64>(&frame) else {
             debug!(entry.logger, "peers: could not decode a frame");
             return;
         };
+        let request = match postcard::from_bytes::<PeerRequest>(request) {
+            Ok(request) => request,
+            Err(error) => {
+                // A node of a later release may send requests that this one doesn't know.
+                debug!(entry.logger, "peers: could not decode a request"; "error" => %error);
+                let _ = replies.send((id, PeerReply::Unable("unknown request".to_owned()))).await;
+                continue;
+            }
+        };
         let (entry, replies) = (entry.clone(), replies.clone());
         entry.tasks.clone().spawn(async move {
             let reply = handle_request(&entry, request).await;
@@ -62,7 +71,8 @@
     mut replies: mpsc::Receiver<(u64, PeerReply)>,
 ) {
     while let Some(reply) = replies.recv().await {
-        let Ok(frame) = postcard::to_stdvec(&reply) else {
+        let (id, reply): (u64, PeerReply) = reply;
+        let Ok(frame) = reply.encode(id) else {
             continue;
         };
         if sink.send(frame.into()).await.is_err() {
@@ -95,5 +105,10 @@
         PeerRequest::Yield { shard } => shards::answer_claimant(entry, shard),
         PeerRequest::Routes => PeerReply::Routes((*entry.routes()).clone()),
         PeerRequest::Targets => control::targets_reply(entry),
+        PeerRequest::NoteOrigins { origins } => {
+            entry.origins.record_told(origins, entry.now());
+            PeerReply::Done
+        }
+        PeerRequest::FindOrigin { key } => PeerReply::Origin(entry.origins.find(key)),
     }
 }
--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -15,7 +15,11 @@
 //! A target may also say in a response that it is leaving. This host then sends it no new work until
 //! the target has restarted, whatever its registration says; see `docs/design/platform.md`.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use rosethread_types::{Incarnation, ServiceName, SoftwareVersion, TargetName, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -87,6 +91,10 @@
 /// then, a registration that comes back does not make the target usable.
 const NOTICE_RETENTION: Duration = Duration::from_secs(3_600);
 
+/// How long a version of the software counts after its last target has gone: longer than callers
+/// wait for the end of a stream that it began.
+const SOFTWARE_RETENTION: Duration = Duration::from_secs(60);
+
 /// A target's statement that it is leaving.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct LeavingNotice {
@@ -102,6 +110,8 @@
     registrations: BTreeMap<TargetName, Registration>,
     /// The targets that said that they are leaving.
     leaving: BTreeMap<TargetName, LeavingNotice>,
+    /// When each version of the software of a service was last registered.
+    software_seen: BTreeMap<(ServiceName, Option<SoftwareVersion>), Duration>,
     /// The shortest store outage that can let registrations expire.
     min_outage: Duration,
     /// When the store last responded, to this host or to a peer.
@@ -126,6 +136,11 @@
         match self.registrations.get_mut(&target.name) {
             Some(registration) if !target.supersedes(&registration.target) => false,
             Some(registration) => {
+                let mut target = target;
+                // A peer of an earlier release leaves out the version of the software.
+                if target.software.is_none() && target.start == registration.target.start {
+                    target.software.clone_from(&registration.target.software);
+                }
                 let same_version =
                     Target { version: registration.target.version, ..target.clone() };
                 let is_changed =
@@ -218,7 +233,7 @@
     where
         I: Iterator<Item = &'a TargetName>,
     {
-        let listed: std::collections::BTreeSet<&TargetName> = listed.collect();
+        let listed: BTreeSet<&TargetName> = listed.collect();
         let missing: Vec<TargetName> =
             self.registrations.keys().filter(|it| !listed.contains(it)).cloned().collect();
         missing.into_iter().filter(|it| self.handle_missing(it, now)).collect()
@@ -233,7 +248,7 @@
     where
         I: Iterator<Item = &'a TargetName>,
     {
-        let listed: std::collections::BTreeSet<&TargetName> = listed.collect();
+        let listed: BTreeSet<&TargetName> = listed.collect();
         let gone: Vec<TargetName> =
             self.registrations.keys().filter(|it| !listed.contains(it)).cloned().collect();
         self.registrations.retain(|name, _| !gone.contains(name));
@@ -249,6 +264,24 @@
         self.last_response.map(|it| now.saturating_sub(it))
     }
 
+    /// Returns the versions of the software that each service's targets run, or ran up to
+    /// [`SOFTWARE_RETENTION`] ago.
+    pub fn software(
+        &mut self,
+        now: Duration,
+    ) -> BTreeMap<ServiceName, BTreeSet<Option<SoftwareVersion>>> {
+        for Registration { target, .. } in self.registrations.values() {
+            let key = (target.service.clone(), target.software.clone());
+            self.software_seen.insert(key, now);
+        }
+        self.software_seen.retain(|_, seen| now < *seen + SOFTWARE_RETENTION);
+        let mut software: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
+        for (service, version) in self.software_seen.keys() {
+            software.entry(service.clone()).or_default().insert(version.clone());
+        }
+        software
+    }
+
     /// Returns the targets by name, with those that are marked as missing. A target that said that
     /// it is leaving has that status.
     pub fn targets(&self) -> BTreeMap<TargetName, Target> {
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -14,7 +14,9 @@
         Attempts, CallResponse, Dispatched, PreparedCall, ResponseBody, dispatch, uncertain_refusal,
     },
     events::{Event, EventBuffer},
-    history, suspects,
+    history,
+    origins::{self, AllowedSoftware},
+    suspects,
     turns::FinishedTurn,
 };
 
@@ -40,6 +42,9 @@
     let headers = dispatched.response.headers.clone();
     let mut relay = Relay::new(prepared.clone(), attempts, dispatched);
     let first_event = relay.next_event().await?;
+    if first_event.is_some() {
+        relay.record_start();
+    }
     relay.first_latency = Some(prepared.call.arrived.elapsed());
     let (sender, receiver) = mpsc::channel(CALLER_BUFFER_EVENTS);
     prepared.entry.clone().tasks.spawn(relay.run(first_event, sender));
@@ -52,6 +57,9 @@
     attempts: Attempts,
     dispatched: Dispatched,
     buffer: EventBuffer,
+    /// The versions of the software that may go on with the stream: the one that began it, once the
+    /// caller has an event.
+    allowed: AllowedSoftware,
     /// Identifier of the last event forwarded to the caller.
     last_id: Option<u64>,
     /// Tokens of the events forwarded to the caller.
@@ -65,11 +73,13 @@
 impl Relay {
     fn new(prepared: Arc<PreparedCall>, attempts: Attempts, dispatched: Dispatched) -> Relay {
         let last_id = prepared.call.resume_after;
+        let allowed = prepared.allowed.clone();
         Relay {
             prepared,
             attempts,
             dispatched,
             buffer: EventBuffer::default(),
+            allowed,
             last_id,
             tokens: 0,
             output: Vec::new(),
@@ -77,6 +87,14 @@
         }
     }
 
+    /// Binds the stream to the version of the software that sends its first event.
+    fn record_start(&mut self) {
+        let software = self.dispatched.target.software.clone();
+        self.allowed = AllowedSoftware::Only(software.clone());
+        let PreparedCall { entry, call, service, .. } = &*self.prepared;
+        origins::record_start(entry, call, service, software);
+    }
+
     /// Forwards all events, stores the turn before the caller sees the end, and logs the outcome.
     async fn run(
         mut self,
@@ -198,7 +216,8 @@
         let target = self.dispatched.target.name.clone();
         let output_time = self.dispatched.in_flight.output_time();
         self.attempts.retry_or_refuse(&self.prepared, target, output_time, detail)?;
-        let dispatched = dispatch(&self.prepared, &mut self.attempts, self.last_id).await?;
+        let dispatched =
+            dispatch(&self.prepared, &mut self.attempts, self.last_id, &self.allowed).await?;
         if !dispatched.response.is_stream || dispatched.response.status != 200 {
             let detail = format!("{} did not resume the stream", dispatched.target.name);
             return Err(uncertain_refusal(true, Reason::TargetFailed, detail));
--- /dev/null
+++ b/crates/rosethread_entry/tests/peers.rs
@@ -0,0 +1,66 @@
+//! Frames between nodes: nodes of the last release and this one understand each other.
+
+use std::time::Duration;
+
+use rosethread_entry::{PeerReply, PeerRequest, Target, TargetStatus};
+use rosethread_types::Incarnation;
+
+/// The reply to request 7 with [`target`] as the last release sent it.
+const LAST_RELEASE_TARGETS: &str = "07060103742d3103737663000a00000150017a0800e807030080e59a77f403";
+
+/// The request 8 for the targets as the last release sent it.
+const LAST_RELEASE_REQUEST: &str = "0807";
+
+fn target(software: Option<&str>) -> Target {
+    Target {
+        name: "t-1".parse().unwrap(),
+        service: "svc".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        slots: 8,
+        status: TargetStatus::Ready,
+        start: Incarnation(1_000),
+        version: 3,
+        software: software.map(|it| it.parse().unwrap()),
+        cold: Duration::from_millis(250),
+    }
+}
+
+fn reply(software: Option<&str>) -> PeerReply {
+    PeerReply::Targets { targets: vec![target(software), target(None)], age_ms: 500 }
+}
+
+// Guards against a change of the encoding that hosts of the last release don't understand, or whose
+// frames aren't understood, while hosts are replaced in turn.
+#[test]
+fn a_reply_of_the_last_release_is_understood() {
+    let bytes = hex::decode(LAST_RELEASE_TARGETS).unwrap();
+    let expected = PeerReply::Targets { targets: vec![target(None)], age_ms: 500 };
+    assert_eq!(PeerReply::decode(&bytes).unwrap(), (7, expected));
+}
+
+#[test]
+fn a_request_of_the_last_release_is_understood() {
+    let bytes = hex::decode(LAST_RELEASE_REQUEST).unwrap();
+    assert_eq!(postcard::from_bytes(&bytes), Ok((8_u64, PeerRequest::Targets)));
+    assert_eq!(postcard::to_stdvec(&(8_u64, PeerRequest::Targets)).unwrap(), bytes);
+}
+
+#[test]
+fn the_last_release_understands_a_reply_with_versions_of_software() {
+    let bytes = reply(Some("v1.1")).encode(7).unwrap();
+    // The last release decodes the beginning of a frame, and its targets have no version.
+    assert_eq!(postcard::from_bytes(&bytes), Ok((7_u64, reply(None))));
+}
+
+#[test]
+fn versions_of_software_arrive_as_they_were_sent() {
+    let bytes = reply(Some("v1.1")).encode(7).unwrap();
+    assert_eq!(PeerReply::decode(&bytes).unwrap(), (7, reply(Some("v1.1"))));
+}
+
+#[test]
+fn other_replies_are_encoded_as_before() {
+    let reply = PeerReply::Unable("no".to_owned());
+    assert_eq!(reply.encode(1).unwrap(), postcard::to_stdvec(&(1_u64, &reply)).unwrap());
+}
--- a/crates/rosethread_entry/tests/registry.rs
+++ b/crates/rosethread_entry/tests/registry.rs
@@ -201,3 +201,34 @@
     assert_eq!(registry.apply_listing([].iter(), at(0)), [name()]);
     assert!(registry.targets().is_empty());
 }
+
+fn with_software(target: Target, software: &str) -> Target {
+    Target { software: Some(software.parse().unwrap()), ..target }
+}
+
+fn versions(registry: &mut TargetRegistry, now: Duration) -> Vec<String> {
+    let software = registry.software(now);
+    software.values().flatten().flatten().map(ToString::to_string).collect()
+}
+
+// Guards against a stream that goes on at another version because its own has just left.
+#[test]
+fn a_version_of_the_software_counts_for_a_while_after_its_last_target() {
+    let mut registry = TargetRegistry::new(at(1_000));
+    registry.upsert(with_software(target(1, 1), "v1"));
+    assert_eq!(versions(&mut registry, at(1_000)), ["v1"]);
+    registry.upsert(with_software(target(2, 1), "v2"));
+    assert_eq!(versions(&mut registry, at(50_000)), ["v1", "v2"]);
+    assert_eq!(versions(&mut registry, at(62_000)), ["v2"]);
+}
+
+// Guards against a peer of the last release, whose list of targets leaves the versions out.
+#[test]
+fn a_report_without_a_version_of_the_software_keeps_the_known_one() {
+    let mut registry = TargetRegistry::new(at(1_000));
+    registry.upsert(with_software(target(1, 1), "v1"));
+    registry.upsert(target(1, 2));
+    assert_eq!(versions(&mut registry, at(0)), ["v1"]);
+    registry.upsert(target(2, 1));
+    assert_eq!(registry.targets()[&name()].software, None);
+}
