--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -265,7 +265,7 @@
     }
 
     /// Returns the versions of the software that each service's targets run, or ran up to
-    /// [`SOFTWARE_RETENTION`] ago.
+    /// a minute ago.
     pub fn software(
         &mut self,
         now: Duration,
