--- a/crates/rosethread_entry/src/origins.rs
+++ b/crates/rosethread_entry/src/origins.rs
@@ -53,6 +53,9 @@
 /// A version of software; `None` for targets whose registration names none.
 pub(crate) type Software = Option<SoftwareVersion>;
 
+/// The versions that the targets of each service run or ran a short time ago.
+pub(crate) type SoftwareByService = BTreeMap<ServiceName, BTreeSet<Software>>;
+
 /// The versions that may run a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum AllowedSoftware {
@@ -240,6 +243,3 @@
     };
     timeout(ANSWER_TIMEOUT, first).await.unwrap_or(None)
 }
-
-/// The versions that the targets of each service run or ran a short time ago.
-pub(crate) type SoftwareByService = BTreeMap<ServiceName, BTreeSet<Software>>;
--- a/crates/rosethread_entry/src/suspects.rs
+++ b/crates/rosethread_entry/src/suspects.rs
@@ -14,7 +14,7 @@
 use rosethread_membership::{ClusterView, NOTICE_LIFETIME, Notice};
 use rosethread_policy::{Suspects, Suspicion, was_starting};
 use rosethread_types::{Reason, Refusal, TargetName};
-use slog::info;
+use slog::{info, warn};
 use tokio::time::sleep;
 
 use crate::{
@@ -28,8 +28,8 @@
 /// its connections and its listener one after the other.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
 
-/// The most facts that wait to be sent to the other hosts. They are sent every
-/// [`SUMMARY_PERIOD`](crate::control), so more than these come from an outage, not from a call.
+/// The most reports that wait to be sent to the other hosts, which happens ten times a second. More
+/// than these come from the loss of many targets at once, which shows nothing of single calls.
 const MAX_PENDING: usize = 256;
 
 /// The calls that are suspected of crashing targets, as far as this host knows.
@@ -46,11 +46,17 @@
         self.known.lock().expect("no holder of the suspects lock panics").clone()
     }
 
-    fn tell(&self, notice: Notice) {
+    /// Queues a report for all hosts; returns false if too many are waiting.
+    fn tell(&self, notice: Notice) -> bool {
         let mut pending = self.pending.lock().expect("no holder of the notices lock panics");
-        if pending.len() < MAX_PENDING && !pending.contains(&notice) {
+        if pending.contains(&notice) {
+            return true;
+        }
+        let has_room = pending.len() < MAX_PENDING;
+        if has_room {
             pending.push(notice);
         }
+        has_room
     }
 
     /// Takes what this host has found out since the last time.
@@ -141,7 +147,9 @@
             "path_fingerprint" => %fingerprints[0].1, "fingerprint" => %fingerprints[1].1);
         entry.metrics.crashes.inc();
         for (_, Fingerprint(call)) in fingerprints {
-            entry.suspects.tell(Notice::Crash { call, run: hash_run(&target) });
+            if !entry.suspects.tell(Notice::Crash { call, run: hash_run(&target) }) {
+                warn!(entry.logger, "suspects: too many reports, dropping one"; "id" => %id);
+            }
         }
     });
 }
@@ -153,8 +161,10 @@
         return;
     }
     for (_, Fingerprint(call)) in fingerprints(&prepared.entry, &prepared.call) {
-        if suspects.suspicion(call) != Suspicion::None {
-            prepared.entry.suspects.tell(Notice::Completed { call });
+        let is_suspected = suspects.suspicion(call) != Suspicion::None;
+        if is_suspected && !prepared.entry.suspects.tell(Notice::Completed { call }) {
+            warn!(prepared.entry.logger, "suspects: too many reports, dropping one";
+                "id" => %prepared.call.id);
         }
     }
 }
