--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -39,6 +39,9 @@
     pub(crate) possible_runs: u32,
     /// Number of sends after which the call certainly did not run.
     rejected: u32,
+    /// Whether the last send used a connection that an earlier request had used. Such a connection
+    /// may have gone silent since.
+    is_reused: bool,
     /// Estimates behind the most recent choice of a target.
     pub(crate) estimate: Estimate,
 }
@@ -68,6 +71,7 @@
         info!(prepared.entry.logger, "call: a target failed"; "id" => %prepared.call.id,
             "target" => %target, "detail" => detail, "may_run_again" => may_retry,
             "ran" => self.possible_runs, "output_ms" => output_time.as_millis() as u64,
+            "reused" => self.is_reused,
             "running" => self.estimate.running,
             "fingerprint" => %prepared.entry.fingerprint(&prepared.call),
             "path_fingerprint" => %prepared.entry.path_fingerprint(&prepared.call));
@@ -158,6 +162,7 @@
             exclude_leaving(entry, &target);
         }
         if let Ok(reply) = &sent {
+            attempts.is_reused = reply.is_reused;
             record_limit(entry, &target, sent_at, reply);
         }
         let error = match sent.map(|it| it.result) {
@@ -194,7 +199,7 @@
         drop(in_flight);
         info!(entry.logger, "call: turned down"; "id" => %prepared.call.id,
             "target" => %target.name, "error" => %error, "running" => choice.estimate.running,
-            "slots" => target.slots);
+            "slots" => target.slots, "reused" => attempts.is_reused);
         attempts.rejected += 1;
         attempts.excluded.push(target.name);
         if MAX_REJECTED_SENDS <= attempts.rejected {
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -113,6 +113,8 @@
     /// The requests per second that the target takes from all hosts together, if it said so, or why
     /// what it said cannot be read.
     pub limit: Result<Option<f64>, String>,
+    /// Whether the request was sent on a connection that an earlier one had used.
+    pub is_reused: bool,
 }
 
 /// The client that sends requests to targets.
