Reach targets by way of other hosts where the own path to them is lost

What callers saw: at a host that had lost its links to all targets, no first try was served (0 of 1013, 0 of 941), while the others served 887 of 908 and 919 of 928.

Cause: a host had one way to a target, and took its failure for the target's: each call burnt four timeouts of 400 ms, then the breakers of all targets opened, so that calls were refused without a send, also 1.5 s after the links were back.

Ruled out: the directory as the cause; callers with an answer or a connection still come.

The connect step alone changes.

--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -14,6 +14,7 @@
     limits::LimitChange,
     load::InFlightRequest,
     origins::AllowedSoftware,
+    paths::PathConnector,
     ports::{SendError, SendReply, TargetRequest, TargetResponse},
     registry::Target,
     suspects,
@@ -156,8 +157,10 @@
             rank: prepared.rank,
             max_connections: choice.max_connections,
         };
+        let connector = PathConnector(entry);
         let sent_at = entry.now();
-        let sent = timeout_at(prepared.deadline, entry.upstream.send(&target, request)).await;
+        let sent =
+            timeout_at(prepared.deadline, entry.upstream.send(&target, request, &connector)).await;
         if sent.as_ref().is_ok_and(|it| it.is_leaving) {
             exclude_leaving(entry, &target);
         }
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -40,6 +40,7 @@
         }
         update_suspects(&entry);
         entry.metrics.limited_targets.set(entry.limits.named_count() as i64);
+        entry.metrics.lost_paths.set(entry.paths.lost_count() as i64);
         entry.metrics.nodes.set(entry.view().live().count() as i64);
         if members.tell(SetSummary(summary)).await.is_err() {
             return;
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -13,7 +13,7 @@
 };
 
 use rosethread_config::KeySettings;
-use rosethread_membership::{ClusterView, Contact, Status};
+use rosethread_membership::{AuthKeys, ClusterView, Contact, Status};
 use rosethread_platform::{Clock, SharedLog};
 use rosethread_runtime::{DatagramTransport, RandomSource, TaskSpawner, Timer};
 use rosethread_types::{Incarnation, RequestId, ServiceName, TargetName};
@@ -32,6 +32,7 @@
     memory::MemoryPool,
     metrics::Metrics,
     origins::{Origins, Software, SoftwareByService},
+    paths::Paths,
     peers::PeerClient,
     ports::{RoutesSource, TargetsSource, Upstream},
     registry::{Target, TargetRegistry},
@@ -136,6 +137,10 @@
     pub(crate) software: watch::Sender<Arc<SoftwareByService>>,
     /// The calls that are suspected of crashing targets.
     pub(crate) suspects: SuspectedCalls,
+    /// The paths to targets, direct ones and by way of other hosts.
+    pub(crate) paths: Paths,
+    /// Authenticates requests for paths.
+    pub(crate) auth_keys: AuthKeys,
     /// The load of each target from other hosts, cached for a short time.
     remote_loads: Mutex<RemoteLoads>,
     pub(crate) shards: Shards,
@@ -166,6 +171,8 @@
             origins: Origins::default(),
             software: watch::Sender::new(Arc::default()),
             suspects: SuspectedCalls::default(),
+            paths: Paths::default(),
+            auth_keys: AuthKeys::new(KeySettings::decode(&dependencies.settings.keys.shared)),
             remote_loads: Mutex::default(),
             shards: Shards::default(),
             turns: TurnCache::default(),
@@ -364,6 +371,7 @@
     /// to another address.
     pub(crate) fn forget_target(&self, target: &TargetName) {
         self.loads.forget(target);
+        self.paths.forget(target);
         self.upstream.close_idle_connections(target);
     }
 
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -56,6 +56,12 @@
     pub crashes: IntCounter,
     /// Number of calls refused because targets crash under them.
     pub deadly_calls: IntCounter,
+    /// Number of paths to targets that this host opened by way of other hosts.
+    pub relayed_paths: IntCounter,
+    /// Number of paths that this host opened for other hosts.
+    pub granted_paths: IntCounter,
+    /// Number of targets to which the direct path is lost.
+    pub lost_paths: IntGauge,
     /// Number of nodes that the membership protocol considers alive, with this one.
     pub nodes: IntGauge,
 }
@@ -142,6 +148,18 @@
                 "rosethread_entry_deadly_calls_total",
                 "Calls refused because targets crash under them.",
             ),
+            relayed_paths: counter(
+                "rosethread_entry_relayed_paths_total",
+                "Paths to targets opened by way of other hosts.",
+            ),
+            granted_paths: counter(
+                "rosethread_entry_granted_paths_total",
+                "Paths to targets opened for other hosts.",
+            ),
+            lost_paths: gauge(
+                "rosethread_entry_lost_paths",
+                "Targets that this host does not reach directly.",
+            ),
             nodes: gauge("rosethread_entry_nodes", "Nodes believed to be alive."),
             registry,
         }
--- /dev/null
+++ b/crates/rosethread_entry/src/paths.rs
@@ -0,0 +1,394 @@
+//! Opens connections to targets, by way of another host where this one does not reach a target.
+//!
+//! Only the connection takes another way: attempts, deadlines, budgets and the choice of the target
+//! stay with the host that has the call. What is known of the paths is in [`rosethread_policy::Reach`].
+//! See `docs/design/paths.md`.
+
+mod relay;
+
+use std::{
+    net::SocketAddr,
+    pin::pin,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use displaydoc::Display;
+use futures::{SinkExt, StreamExt, stream::FuturesUnordered};
+use rosethread_membership::{MAC_BYTES, MAX_CLOCK_SKEW_MS};
+use rosethread_policy::{DirectPath, PathLoss, Reach};
+use rosethread_types::{Incarnation, NodeName, TargetName};
+use serde::{Deserialize, Serialize};
+use slog::{debug, info, warn};
+use tokio::{net::TcpStream, sync::Semaphore, time::timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::{
+    entry::{Entry, Phase},
+    peers::PeerReply,
+    ports::{ConnectError, Connector, SendError, TargetSocket},
+    registry::{Target, TargetStatus},
+};
+
+pub use relay::PathStream;
+
+/// The time that a direct connection gets before another host is asked. A lost opening packet is sent
+/// again only after a second.
+const DIRECT_HEAD_START: Duration = Duration::from_millis(100);
+
+/// The time in which a host that is asked for a path connects to the target.
+const HELP_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The time in which a host that is asked for a path replies.
+const HELP_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The time after which the next host is asked as well.
+const ASK_INTERVAL: Duration = Duration::from_millis(40);
+
+/// The most hosts that are asked for one path. Where most hosts have lost their links, most of those
+/// asked at first have, too.
+const MAX_ASKED: usize = 8;
+
+/// The number of hosts that don't reach a target either after which no more are asked.
+const MAX_FAILED: usize = 2;
+
+/// The most paths that a host carries for others at a time. Each takes two sockets and some 20 KB.
+const MAX_GRANTED: usize = 256;
+
+/// Separates requests for paths from everything else that hosts authenticate with the same keys.
+const DOMAIN: &str = "rosethread path";
+
+/// A host's request for a path to a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PathRequest {
+    /// The target.
+    pub target: TargetName,
+    /// The run of the target that is meant.
+    pub start: Incarnation,
+    /// When the request was sent, in milliseconds since the Unix epoch.
+    pub sent_ms: u64,
+    /// The authentication code, which also covers the name of the host that is asked.
+    pub mac: [u8; MAC_BYTES],
+}
+
+/// Why a host opens no path to a target.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NoPath {
+    /// the target refuses its connection too
+    Refused,
+    /// the target does not reply to it either
+    Silent,
+    /// it has lost its own path to the target
+    CutOff,
+    /// it does not know this run of the target
+    Unknown,
+    /// the target is leaving
+    Leaving,
+    /// the target is at its limit of connections
+    Full,
+    /// it carries too many paths, or is shutting down
+    Busy,
+    /// the request is not authentic
+    NotAuthentic,
+}
+
+/// What a host knows of its paths to targets, and the paths that it carries for others.
+pub(crate) struct Paths {
+    reach: Mutex<Reach>,
+    granted: Semaphore,
+}
+
+impl Default for Paths {
+    fn default() -> Paths {
+        Paths { reach: Mutex::default(), granted: Semaphore::new(MAX_GRANTED) }
+    }
+}
+
+impl Paths {
+    fn reach(&self) -> MutexGuard<'_, Reach> {
+        self.reach.lock().expect("no holder of the reach lock panics")
+    }
+
+    /// Forgets a target that left, restarted or moved to another address.
+    pub(crate) fn forget(&self, target: &TargetName) {
+        self.reach().forget(target);
+    }
+
+    /// Returns the number of targets to which the direct path is lost.
+    pub(crate) fn lost_count(&self) -> usize {
+        self.reach().lost_count()
+    }
+}
+
+/// The [`Connector`] of an entry.
+pub(crate) struct PathConnector<'a>(pub(crate) &'a Arc<Entry>);
+
+#[async_trait]
+impl Connector for PathConnector<'_> {
+    async fn open(&self, target: &Target) -> Result<TargetSocket, SendError> {
+        let entry = self.0;
+        let has_others = entry.view().live().any(|it| it.node != entry.settings.node);
+        if !has_others {
+            let socket = entry.upstream.connect(target).await;
+            return socket.map(TargetSocket::Left).map_err(send_error);
+        }
+        let plan =
+            entry.paths.reach().plan_direct(&target.name, entry.now(), entry.random.next_f64());
+        match plan {
+            DirectPath::Up => open_first(entry, target, DIRECT_HEAD_START).await,
+            DirectPath::Trial => open_first(entry, target, Duration::ZERO).await,
+            DirectPath::Down => match open_relayed(entry, target).await {
+                Ok(path) => Ok(TargetSocket::Right(path)),
+                Err(error) => Err(SendError::NotSent(error.to_string())),
+            },
+        }
+    }
+}
+
+fn send_error(error: ConnectError) -> SendError {
+    match error {
+        ConnectError::Full => SendError::Full,
+        error => SendError::NotSent(error.to_string()),
+    }
+}
+
+/// Opens a connection directly or by way of another host, whichever succeeds first. The direct one
+/// begins `head_start` earlier.
+async fn open_first(
+    entry: &Arc<Entry>,
+    target: &Target,
+    head_start: Duration,
+) -> Result<TargetSocket, SendError> {
+    let mut direct = pin!(connect_directly(entry, target));
+    let mut failure = match timeout(head_start, &mut direct).await {
+        Ok(Ok(socket)) => return Ok(TargetSocket::Left(socket)),
+        Ok(Err(error)) => Some(path_loss(error)?),
+        Err(_) => None,
+    };
+    let mut relayed = pin!(open_relayed(entry, target));
+    let relayed = tokio::select! {
+        biased;
+        connected = &mut direct, if failure.is_none() => match connected {
+            Ok(socket) => return Ok(TargetSocket::Left(socket)),
+            Err(error) => {
+                failure = Some(path_loss(error)?);
+                relayed.await
+            }
+        },
+        relayed = &mut relayed => relayed,
+    };
+    match relayed {
+        Ok(path) => {
+            if failure.is_none() && !head_start.is_zero() {
+                entry.paths.reach().record_failed(&target.name, PathLoss::Silent, entry.now());
+            }
+            record_lost(entry, target);
+            Ok(TargetSocket::Right(path))
+        }
+        Err(error) => {
+            if failure.is_none() {
+                match direct.await {
+                    Ok(socket) => return Ok(TargetSocket::Left(socket)),
+                    Err(error) => path_loss(error)?,
+                };
+            }
+            if error == NoRelay::TargetFailed && !entry.paths.reach().is_cut_off() {
+                entry.paths.forget(&target.name);
+            } else {
+                record_lost(entry, target);
+            }
+            Err(SendError::NotSent(error.to_string()))
+        }
+    }
+}
+
+/// Returns how the path failed, or the error for the request if the path is not the cause.
+fn path_loss(error: ConnectError) -> Result<PathLoss, SendError> {
+    match error {
+        ConnectError::Refused => Ok(PathLoss::Refused),
+        ConnectError::TimedOut => Ok(PathLoss::Silent),
+        error => Err(send_error(error)),
+    }
+}
+
+/// Connects to a target directly, and records whether that worked.
+async fn connect_directly(entry: &Arc<Entry>, target: &Target) -> Result<TcpStream, ConnectError> {
+    let connected = entry.upstream.connect(target).await;
+    let loss = match &connected {
+        Ok(_) | Err(ConnectError::Full) => None,
+        Err(ConnectError::Refused) => Some(PathLoss::Refused),
+        Err(ConnectError::TimedOut) => Some(PathLoss::Silent),
+        Err(ConnectError::Failed(_)) => return connected,
+    };
+    let mut reach = entry.paths.reach();
+    match loss {
+        Some(loss) => reach.record_failed(&target.name, loss, entry.now()),
+        None if reach.record_reached(&target.name, entry.now()) => {
+            info!(entry.logger, "paths: a direct path is back"; "target" => %target.name,
+                "lost" => reach.lost_count());
+        }
+        None => (),
+    }
+    connected
+}
+
+fn record_lost(entry: &Entry, target: &Target) {
+    let mut reach = entry.paths.reach();
+    if reach.record_lost(&target.name, entry.now(), entry.random.next_f64()) {
+        warn!(entry.logger, "paths: lost the direct path to a target"; "target" => %target.name,
+            "start" => target.start.0, "lost" => reach.lost_count(),
+            "cut_off" => reach.is_cut_off());
+    }
+}
+
+/// Why no path by way of another host was opened.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum NoRelay {
+    /// other hosts don't reach the target either
+    TargetFailed,
+    /// no other host opened a path to the target
+    NoHelp,
+}
+
+/// Asks other hosts for a path to a target, one after the other, until one opens it.
+async fn open_relayed(entry: &Arc<Entry>, target: &Target) -> Result<PathStream, NoRelay> {
+    let view = entry.view();
+    let others = view.live().map(|it| it.node.clone()).filter(|it| *it != entry.settings.node);
+    let random = || entry.random.next_u64();
+    let order = entry.paths.reach().order_helpers(others, entry.now(), random);
+    let mut order = order.into_iter().take(MAX_ASKED);
+    let mut asked = FuturesUnordered::new();
+    let mut failed = 0;
+    loop {
+        let next = order.next().and_then(|it| view.get(&it));
+        let is_last = next.is_none();
+        asked.extend(next.map(|it| ask_host(entry, target, &it.node, it.contact.peer)));
+        let wait = if is_last { HELP_TIMEOUT } else { ASK_INTERVAL };
+        match timeout(wait, asked.next()).await {
+            Ok(Some(Ok(path))) => {
+                entry.metrics.relayed_paths.inc();
+                return Ok(path);
+            }
+            Ok(Some(Err(Some(NoPath::Refused | NoPath::Silent)))) => {
+                failed += 1;
+                if MAX_FAILED <= failed {
+                    return Err(NoRelay::TargetFailed);
+                }
+            }
+            Ok(None) if is_last && failed == 0 => return Err(NoRelay::NoHelp),
+            Ok(None) if is_last => return Err(NoRelay::TargetFailed),
+            Ok(_) | Err(_) => (),
+        }
+    }
+}
+
+/// Asks one host for a path, and records whether it helped.
+async fn ask_host(
+    entry: &Arc<Entry>,
+    target: &Target,
+    host: &NodeName,
+    to: SocketAddr,
+) -> Result<PathStream, Option<NoPath>> {
+    let request = sign_request(entry, target, host);
+    let reply = timeout(HELP_TIMEOUT, relay::open(to, request)).await;
+    let result = match reply {
+        Ok(Ok(Ok(path))) => Ok(path),
+        Ok(Ok(Err(reason))) => Err(Some(reason)),
+        Ok(Err(error)) => {
+            debug!(entry.logger, "paths: a host gave no usable reply"; "host" => %host,
+                "error" => %error);
+            Err(None)
+        }
+        Err(_) => Err(None),
+    };
+    entry.paths.reach().record_help(host, result.is_ok(), entry.now());
+    if let Err(reason) = &result {
+        debug!(entry.logger, "paths: a host opens no path"; "host" => %host,
+            "target" => %target.name, "reason" => reason.map(|it| it.to_string()));
+    }
+    result
+}
+
+fn sign_request(entry: &Entry, target: &Target, host: &NodeName) -> PathRequest {
+    let (target, start, sent_ms) = (target.name.clone(), target.start, entry.clock.now_ms());
+    let mac = entry.auth_keys.sign(&signed_bytes(&target, start, sent_ms, host));
+    PathRequest { target, start, sent_ms, mac }
+}
+
+fn signed_bytes(target: &TargetName, start: Incarnation, sent_ms: u64, host: &NodeName) -> Vec<u8> {
+    postcard::to_stdvec(&(DOMAIN, target, start, sent_ms, host)).expect("a request serialises")
+}
+
+/// Opens a path for another host, and carries it to its end.
+pub(crate) async fn serve_path(
+    entry: &Arc<Entry>,
+    mut framed: Framed<TcpStream, LengthDelimitedCodec>,
+    id: u64,
+    request: PathRequest,
+) {
+    let permit = entry.paths.granted.try_acquire();
+    // A shutdown waits for the paths, as for the calls in progress.
+    let _guard = entry.count_call();
+    let opened = match permit {
+        Ok(_) => connect_for(entry, &request).await,
+        Err(_) => Err(NoPath::Busy),
+    };
+    let reply = match &opened {
+        Ok(_) => PeerReply::Done,
+        Err(reason) => {
+            debug!(entry.logger, "paths: refusing a path"; "target" => %request.target,
+                "reason" => %reason);
+            PeerReply::NoPath(*reason)
+        }
+    };
+    let Ok(frame) = reply.encode(id) else {
+        return;
+    };
+    if framed.send(Bytes::from(frame)).await.is_err() {
+        return;
+    }
+    if let Ok(socket) = opened {
+        entry.metrics.granted_paths.inc();
+        relay::carry(framed, socket).await;
+    }
+}
+
+/// Connects to a target for another host.
+async fn connect_for(entry: &Arc<Entry>, request: &PathRequest) -> Result<TcpStream, NoPath> {
+    let PathRequest { target, start, sent_ms, mac } = request;
+    let signed = signed_bytes(target, *start, *sent_ms, &entry.settings.node);
+    let is_recent = entry.clock.now_ms().abs_diff(*sent_ms) <= MAX_CLOCK_SKEW_MS;
+    if !is_recent || !entry.auth_keys.verify(&signed, mac) {
+        return Err(NoPath::NotAuthentic);
+    }
+    if entry.phase() != Phase::Serving {
+        return Err(NoPath::Busy);
+    }
+    let target = entry.targets().get(target).filter(|it| it.start == *start).cloned();
+    let target = target.ok_or(NoPath::Unknown)?;
+    if target.status != TargetStatus::Ready {
+        return Err(NoPath::Leaving);
+    }
+    let plan = entry.paths.reach().plan_direct(&target.name, entry.now(), entry.random.next_f64());
+    if plan == DirectPath::Down {
+        return Err(NoPath::CutOff);
+    }
+    let failure = match timeout(HELP_CONNECT_TIMEOUT, connect_directly(entry, &target)).await {
+        Ok(Ok(socket)) => return Ok(socket),
+        Ok(Err(ConnectError::Refused)) => NoPath::Refused,
+        Ok(Err(ConnectError::Full)) => return Err(NoPath::Full),
+        Ok(Err(ConnectError::Failed(_))) => return Err(NoPath::Busy),
+        Ok(Err(ConnectError::TimedOut)) => NoPath::Silent,
+        Err(_) => {
+            entry.paths.reach().record_failed(&target.name, PathLoss::Silent, entry.now());
+            NoPath::Silent
+        }
+    };
+    if !entry.paths.reach().is_cut_off() {
+        return Err(failure);
+    }
+    record_lost(entry, &target);
+    Err(NoPath::CutOff)
+}
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     ledger::{GrantRequest, Ledger, Settlement, Verdict},
+    paths::{NoPath, PathRequest},
     registry::Target,
     routes::Routes,
     shards::YieldedAccounts,
@@ -111,6 +112,9 @@
         /// The digest of the attempt that brought the first event.
         key: u64,
     },
+    /// Open a path to a target. It is the first request on its connection, which carries the path if
+    /// the reply is [`PeerReply::Done`].
+    OpenPath(PathRequest),
 }
 
 impl PeerRequest {
@@ -153,6 +157,8 @@
     Unable(String),
     /// The version of the software at which a stream began, if the node knows it.
     Origin(Option<Option<SoftwareVersion>>),
+    /// The node opens no path to the target.
+    NoPath(NoPath),
 }
 
 impl PeerReply {
@@ -191,6 +197,6 @@
     async fn request(&self, to: SocketAddr, request: PeerRequest) -> Result<PeerReply, PeerError>;
 }
 
-fn frame_codec() -> LengthDelimitedCodec {
+pub(crate) fn frame_codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use futures::{SinkExt, StreamExt, stream::SplitSink};
+use futures::{
+    SinkExt, StreamExt,
+    future::ready,
+    stream::{self, SplitSink},
+};
 use slog::{debug, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -14,7 +18,7 @@
 use crate::{
     control,
     entry::Entry,
-    grants, history,
+    grants, history, paths,
     peers::{PeerReply, PeerRequest, frame_codec},
     shards::{self, NotOwned},
 };
@@ -40,7 +44,16 @@
 }
 
 async fn serve_connection(entry: Arc<Entry>, socket: TcpStream) {
-    let (sink, mut stream) = Framed::new(socket, frame_codec()).split();
+    let mut framed = Framed::new(socket, frame_codec());
+    let Some(Ok(first)) = framed.next().await else {
+        return;
+    };
+    if let Ok((id, PeerRequest::OpenPath(request))) = postcard::from_bytes(&first) {
+        paths::serve_path(&entry, framed, id, request).await;
+        return;
+    }
+    let (sink, stream) = framed.split();
+    let mut stream = stream::once(ready(Ok(first))).chain(stream);
     let (replies, receiver) = mpsc::channel(MAX_QUEUED_REPLIES);
     entry.tasks.spawn(write_replies(sink, receiver));
     while let Some(Ok(frame)) = stream.next().await {
@@ -110,5 +123,8 @@
             PeerReply::Done
         }
         PeerRequest::FindOrigin { key } => PeerReply::Origin(entry.origins.find(key)),
+        PeerRequest::OpenPath(_) => {
+            PeerReply::Unable("a path needs a connection of its own".to_owned())
+        }
     }
 }
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -11,7 +11,10 @@
 use rosethread_platform::SharedLogError;
 use rosethread_types::{RequestId, Revision, TargetName};
 
-use crate::{Call, Routes, Target};
+use tokio::net::TcpStream;
+use tokio_util::either::Either;
+
+use crate::{Call, Routes, Target, paths::PathStream};
 
 /// The source of the routes that the operator publishes.
 #[async_trait]
@@ -117,17 +120,49 @@
     pub is_reused: bool,
 }
 
+/// Why no connection to a target could be opened.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum ConnectError {
+    /// the address refuses connections
+    Refused,
+    /// the address does not reply
+    TimedOut,
+    // The target closed the connection before a request was sent on it.
+    /// the target is at its limit of connections
+    Full,
+    /// {0}
+    Failed(String),
+}
+
+impl std::error::Error for ConnectError {}
+
+/// A connection to a target: a direct one, or a path through another host.
+pub type TargetSocket = Either<TcpStream, PathStream>;
+
+/// Opens connections to targets, directly or by way of another host.
+#[async_trait]
+pub trait Connector: Send + Sync {
+    /// Opens a connection on which no request has been sent. A path through another host carries one
+    /// request only.
+    async fn open(&self, target: &Target) -> Result<TargetSocket, SendError>;
+}
+
 /// The client that sends requests to targets.
 #[async_trait]
 pub trait Upstream: Send + Sync {
-    /// Sends a request and waits for the status and headers of the response.
+    /// Sends a request and waits for the status and headers of the response. Uses `connector` to open
+    /// a connection unless it reuses an idle one.
     ///
     /// Dropping the future cancels the request at the target.
-    async fn send(&self, target: &Target, request: TargetRequest<'_>) -> SendReply;
-
-    /// Returns whether a target's address refuses connections, which shows that its process has
-    /// ended. Without a reply in time nothing is shown, as the network may be the cause.
-    async fn refuses_connections(&self, target: &Target) -> bool;
+    async fn send(
+        &self,
+        target: &Target,
+        request: TargetRequest<'_>,
+        connector: &dyn Connector,
+    ) -> SendReply;
+
+    /// Opens a direct connection to a target.
+    async fn connect(&self, target: &Target) -> Result<TcpStream, ConnectError>;
 
     /// Closes the idle connections to a target that left, restarted or moved to another address.
     ///
--- a/crates/rosethread_entry/src/suspects.rs
+++ b/crates/rosethread_entry/src/suspects.rs
@@ -21,6 +21,7 @@
     call::{Call, PreparedCall},
     entry::Entry,
     fingerprint::Fingerprint,
+    ports::ConnectError,
     registry::{Target, TargetStatus},
 };
 
@@ -138,7 +139,7 @@
     // The caller may leave, which ends its own tasks.
     entry.tasks.clone().spawn(async move {
         sleep(PROBE_DELAY).await;
-        if !entry.upstream.refuses_connections(&target).await {
+        if !matches!(entry.upstream.connect(&target).await, Err(ConnectError::Refused)) {
             return;
         }
         info!(entry.logger, "targets: a target crashed while a call was starting";
--- a/crates/rosethread_membership/src/lib.rs
+++ b/crates/rosethread_membership/src/lib.rs
@@ -17,4 +17,4 @@
 pub use notices::{AgedNotice, NOTICE_LIFETIME, Notice};
 pub use rendezvous::{rank_nodes, responsible_node, target_owner};
 pub use state::{ClusterView, Contact, NodeState, NodeSummary, Status, TargetLimit, TargetLoad};
-pub use wire::{AuthKeys, DatagramError, MAX_DATAGRAM};
+pub use wire::{AuthKeys, DatagramError, MAC_BYTES, MAX_CLOCK_SKEW_MS, MAX_DATAGRAM};
--- a/crates/rosethread_membership/src/wire.rs
+++ b/crates/rosethread_membership/src/wire.rs
@@ -18,7 +18,7 @@
 pub const MAX_DATAGRAM: usize = 900;
 
 /// The length of the truncated HMAC-SHA-256 that precedes the body, in bytes.
-const MAC_BYTES: usize = 16;
+pub const MAC_BYTES: usize = 16;
 
 /// The bytes reserved for everything but the MAC and the reports: time, kind and number.
 const RESERVED_BYTES: usize = 128;
@@ -26,8 +26,8 @@
 /// The most bytes that the reports of one datagram may take.
 pub(crate) const MAX_STATES_BYTES: usize = MAX_DATAGRAM - MAC_BYTES - RESERVED_BYTES;
 
-/// How far the sending time of a datagram may differ from the receiver's clock, in milliseconds.
-const MAX_CLOCK_SKEW_MS: u64 = 10_000;
+/// How far the sending time of a signed message may differ from the receiver's clock, in milliseconds.
+pub const MAX_CLOCK_SKEW_MS: u64 = 10_000;
 
 /// The most reports accepted in one datagram.
 const MAX_STATES: usize = 256;
@@ -68,6 +68,17 @@
         AuthKeys(keys)
     }
 
+    /// Returns the authentication code of `bytes` under the first key.
+    pub fn sign(&self, bytes: &[u8]) -> [u8; MAC_BYTES] {
+        compute_mac(&self.0[0], bytes)
+    }
+
+    /// Returns whether `mac` is the authentication code of `bytes` under one of the keys.
+    pub fn verify(&self, bytes: &[u8], mac: &[u8]) -> bool {
+        use subtle::ConstantTimeEq;
+        self.0.iter().any(|key| compute_mac(key, bytes).ct_eq(mac).into())
+    }
+
     /// Encodes and signs a message; `now_ms` is the sender's wall-clock time in milliseconds.
     pub fn encode(&self, message: &Message, now_ms: u64) -> Vec<u8> {
         let datagram = Datagram { sent_ms: now_ms, message: message.clone() };
@@ -77,7 +88,7 @@
             let notices: Vec<_> = message.notices.iter().map(AgedNotice::encode).collect();
             body = postcard::to_extend(&notices, body).expect("notices serialise");
         }
-        let mut bytes = compute_mac(&self.0[0], &body).to_vec();
+        let mut bytes = self.sign(&body).to_vec();
         bytes.extend_from_slice(&body);
         bytes
     }
@@ -91,11 +102,7 @@
             return Err(DatagramError::Malformed);
         }
         let (mac, body) = bytes.split_at_checked(MAC_BYTES).ok_or(DatagramError::Malformed)?;
-        let is_genuine = self.0.iter().any(|key| {
-            use subtle::ConstantTimeEq;
-            compute_mac(key, body).ct_eq(mac).into()
-        });
-        if !is_genuine {
+        if !self.verify(body, mac) {
             return Err(DatagramError::BadMac);
         }
         let (mut datagram, rest): (Datagram, &[u8]) =
