End connections to targets that have gone silent, and reuse none that may have

Cause: nothing but the deadline ended a silent connection; a turn may run once only, so that it could not go another way either.

Change: TCP_USER_TIMEOUT and keep-alive probes on connections to targets and on paths; idle connections from before the last loss of a path without a reply are not reused. docs/design/paths.md says for each socket what ends a silent connection, and when.

Evidence: two tests fail before (the stream ends after one event; 504 for a turn) and pass now. The stream's test asks for its end in contact_ms, 3 s, where it asked for 2.5 s before it had ever passed: the probes of the operating system come in whole seconds.

--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -156,6 +156,7 @@
             is_repeatable: prepared.route.is_repeatable(),
             rank: prepared.rank,
             max_connections: choice.max_connections,
+            doubt_since: entry.paths.doubt_since().map(|it| entry.started_at + it),
         };
         let connector = PathConnector(entry);
         let sent_at = entry.now();
--- a/crates/rosethread_entry/src/paths.rs
+++ b/crates/rosethread_entry/src/paths.rs
@@ -5,6 +5,7 @@
 //! See `docs/design/paths.md`.
 
 mod relay;
+mod silence;
 
 use std::{
     net::SocketAddr,
@@ -33,6 +34,7 @@
 };
 
 pub use relay::PathStream;
+pub use silence::limit_silence;
 
 /// The time that a direct connection gets before another host is asked. A lost opening packet is sent
 /// again only after a second.
@@ -116,6 +118,11 @@
         self.reach().forget(target);
     }
 
+    /// Returns the time up to which idle connections to targets may have gone silent since.
+    pub(crate) fn doubt_since(&self) -> Option<Duration> {
+        self.reach().doubt_since()
+    }
+
     /// Returns the number of targets to which the direct path is lost.
     pub(crate) fn lost_count(&self) -> usize {
         self.reach().lost_count()
--- a/crates/rosethread_entry/src/paths/relay.rs
+++ b/crates/rosethread_entry/src/paths/relay.rs
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    paths::{NoPath, PathRequest},
+    paths::{NoPath, PathRequest, limit_silence},
     peers::{PeerReply, PeerRequest, frame_codec},
 };
 
@@ -40,6 +40,7 @@
 ) -> io::Result<Result<PathStream, NoPath>> {
     let socket = TcpStream::connect(to).await?;
     socket.set_nodelay(true)?;
+    limit_silence(&socket)?;
     let mut framed = Framed::new(socket, frame_codec());
     let frame = postcard::to_stdvec(&(0_u64, PeerRequest::OpenPath(request)));
     framed.send(Bytes::from(frame.map_err(io::Error::other)?)).await?;
@@ -72,6 +73,8 @@
 /// Carries a path between the host that asked for it and the target until either of them closes it.
 pub(super) async fn carry(framed: Framed<TcpStream, LengthDelimitedCodec>, target: TcpStream) {
     let parts = framed.into_parts();
+    // Without the limit the path still works, but outlives a host that has lost its power.
+    let _ = limit_silence(&parts.io);
     let (mut near_read, near_write) = parts.io.into_split();
     let (far_read, mut far_write) = target.into_split();
     let requests = async {
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -11,7 +11,7 @@
 use rosethread_platform::SharedLogError;
 use rosethread_types::{RequestId, Revision, TargetName};
 
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, time::Instant};
 use tokio_util::either::Either;
 
 use crate::{Call, Routes, Target, paths::PathStream};
@@ -64,6 +64,9 @@
     pub rank: u8,
     /// The maximum number of connections from this host to the target.
     pub max_connections: usize,
+    /// When this host last lost a path without a reply. Connections that have been idle since before may
+    /// be silent, and are not reused.
+    pub doubt_since: Option<Instant>,
 }
 
 /// The reason why a target gave no usable answer.
