Take a refused connection for a crash only where other hosts find the same

What callers saw: where links are reset and new connections refused, hosts without links reported crashes of targets that had not crashed, and calls without guilt were refused at all hosts for 60 s, as `crashes-targets`.

Cause: the host that lost the connection was the only witness, and its own lost link looks like a target that has ended.

Change: the host must reach one of two other targets itself; three others are asked for the target, who check themselves in the same way; one must agree, none may reach it. Where no other host can say, the first one's word counts, as before.

--- a/crates/rosethread_entry/src/paths.rs
+++ b/crates/rosethread_entry/src/paths.rs
@@ -4,6 +4,7 @@
 //! stay with the host that has the call. What is known of the paths is in [`rosethread_policy::Reach`].
 //! See `docs/design/paths.md`.
 
+mod evidence;
 mod relay;
 mod silence;
 
@@ -33,6 +34,8 @@
     registry::{Target, TargetStatus},
 };
 
+pub use evidence::Probe;
+pub(crate) use evidence::{answer as answer_probe, has_ended};
 pub use relay::PathStream;
 pub use silence::limit_silence;
 
@@ -86,6 +89,8 @@
     CutOff,
     /// it does not know this run of the target
     Unknown,
+    /// the target has started anew since
+    Restarted,
     /// the target is leaving
     Leaving,
     /// the target is at its limit of connections
@@ -263,9 +268,7 @@
 async fn open_relayed(entry: &Arc<Entry>, target: &Target) -> Result<PathStream, NoRelay> {
     let view = entry.view();
     let others = view.live().map(|it| it.node.clone()).filter(|it| *it != entry.settings.node);
-    let random = || entry.random.next_u64();
-    let order = entry.paths.reach().order_helpers(others, entry.now(), random);
-    let mut order = order.into_iter().take(MAX_ASKED);
+    let mut order = order_helpers(entry, others).into_iter().take(MAX_ASKED);
     let mut asked = FuturesUnordered::new();
     let mut failed = 0;
     loop {
@@ -291,6 +294,13 @@
     }
 }
 
+fn order_helpers<I>(entry: &Entry, hosts: I) -> Vec<NodeName>
+where
+    I: IntoIterator<Item = NodeName>,
+{
+    entry.paths.reach().order_helpers(hosts, entry.now(), || entry.random.next_u64())
+}
+
 /// Asks one host for a path, and records whether it helped.
 async fn ask_host(
     entry: &Arc<Entry>,
@@ -362,19 +372,27 @@
     }
 }
 
-/// Connects to a target for another host.
-async fn connect_for(entry: &Arc<Entry>, request: &PathRequest) -> Result<TcpStream, NoPath> {
+/// Returns the target that another host means, if that host may know what becomes of connections to it.
+fn find_target(entry: &Entry, request: &PathRequest) -> Result<Target, NoPath> {
     let PathRequest { target, start, sent_ms, mac } = request;
     let signed = signed_bytes(target, *start, *sent_ms, &entry.settings.node);
     let is_recent = entry.clock.now_ms().abs_diff(*sent_ms) <= MAX_CLOCK_SKEW_MS;
     if !is_recent || !entry.auth_keys.verify(&signed, mac) {
         return Err(NoPath::NotAuthentic);
     }
+    match entry.targets().get(target) {
+        Some(target) if target.start == *start => Ok(target.clone()),
+        Some(target) if *start < target.start => Err(NoPath::Restarted),
+        _ => Err(NoPath::Unknown),
+    }
+}
+
+/// Connects to a target for another host.
+async fn connect_for(entry: &Arc<Entry>, request: &PathRequest) -> Result<TcpStream, NoPath> {
+    let target = find_target(entry, request)?;
     if entry.phase() != Phase::Serving {
         return Err(NoPath::Busy);
     }
-    let target = entry.targets().get(target).filter(|it| it.start == *start).cloned();
-    let target = target.ok_or(NoPath::Unknown)?;
     if target.status != TargetStatus::Ready {
         return Err(NoPath::Leaving);
     }
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     ledger::{GrantRequest, Ledger, Settlement, Verdict},
-    paths::{NoPath, PathRequest},
+    paths::{NoPath, PathRequest, Probe},
     registry::Target,
     routes::Routes,
     shards::YieldedAccounts,
@@ -115,6 +115,8 @@
     /// Open a path to a target. It is the first request on its connection, which carries the path if
     /// the reply is [`PeerReply::Done`].
     OpenPath(PathRequest),
+    /// Return what the node finds at the address of a target.
+    ProbeTarget(PathRequest),
 }
 
 impl PeerRequest {
@@ -159,6 +161,8 @@
     Origin(Option<Option<SoftwareVersion>>),
     /// The node opens no path to the target.
     NoPath(NoPath),
+    /// What the node found at the address of the target.
+    Probed(Probe),
 }
 
 impl PeerReply {
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -123,6 +123,9 @@
             PeerReply::Done
         }
         PeerRequest::FindOrigin { key } => PeerReply::Origin(entry.origins.find(key)),
+        PeerRequest::ProbeTarget(request) => {
+            PeerReply::Probed(paths::answer_probe(entry, &request).await)
+        }
         PeerRequest::OpenPath(_) => {
             PeerReply::Unable("a path needs a connection of its own".to_owned())
         }
--- a/crates/rosethread_entry/src/suspects.rs
+++ b/crates/rosethread_entry/src/suspects.rs
@@ -1,8 +1,8 @@
 //! Refuses calls that crash the targets which run them, and finds out about them.
 //!
 //! A host that loses its connection to a target while a call is starting there asks whether the
-//! target's address still takes connections. If it refuses them, the target's process has ended, and
-//! the host tells all others that the call was starting at that run of the target. The policy for
+//! target's process has ended (see [`paths::has_ended`]). If so, it tells all others that the call was
+//! starting at that run of the target. The policy for
 //! what follows from these reports is in [`rosethread_policy::Suspects`]. See `docs/design/suspects.md`.
 
 use std::{
@@ -21,7 +21,7 @@
     call::{Call, PreparedCall},
     entry::Entry,
     fingerprint::Fingerprint,
-    ports::ConnectError,
+    paths,
     registry::{Target, TargetStatus},
 };
 
@@ -139,7 +139,7 @@
     // The caller may leave, which ends its own tasks.
     entry.tasks.clone().spawn(async move {
         sleep(PROBE_DELAY).await;
-        if !matches!(entry.upstream.connect(&target).await, Err(ConnectError::Refused)) {
+        if !paths::has_ended(&entry, &target).await {
             return;
         }
         info!(entry.logger, "targets: a target crashed while a call was starting";
--- a/crates/rosethread_entry/tests/peers.rs
+++ b/crates/rosethread_entry/tests/peers.rs
@@ -46,6 +46,19 @@
     assert_eq!(postcard::to_stdvec(&(8_u64, PeerRequest::Targets)).unwrap(), bytes);
 }
 
+/// The request 9 for the origin of the stream 5, and the reply that the node knows none, as the last
+/// release sent them.
+const LAST_RELEASE_FIND_ORIGIN: (&str, &str) = ("090905", "090900");
+
+#[test]
+fn requests_for_paths_leave_those_of_the_last_release_as_they_were() {
+    let request = hex::decode(LAST_RELEASE_FIND_ORIGIN.0).unwrap();
+    let expected = (9_u64, PeerRequest::FindOrigin { key: 5 });
+    assert_eq!(postcard::from_bytes(&request), Ok(expected));
+    let reply = hex::decode(LAST_RELEASE_FIND_ORIGIN.1).unwrap();
+    assert_eq!(PeerReply::decode(&reply).unwrap(), (9, PeerReply::Origin(None)));
+}
+
 #[test]
 fn the_last_release_understands_a_reply_with_versions_of_software() {
     let bytes = reply(Some("v1.1")).encode(7).unwrap();
