Record the versions of services' software, so that hosts that start anew know those that left

Cause: a host concluded from what it had seen since its own start that a service had one version only.

Ruled out: a mix-up between two versions after such a loss; streams of unknown origin are refused then, and the test for it passed before.

--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -1,6 +1,10 @@
 //! Keeps the list of registered targets up to date, from the store or, in an outage, from a peer.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use rosethread_platform::SharedLogError;
 use rosethread_runtime::Tick;
@@ -9,7 +13,7 @@
 
 use crate::{
     entry::Entry,
-    origins::{self, SoftwareByService},
+    origins::{self, ServiceSoftware, SoftwareByService},
     peers::{PeerReply, PeerRequest},
     ports::TargetChanges,
     registry::Target,
@@ -137,6 +141,14 @@
     }
 }
 
+/// Counts the versions that were recorded before this host started as if their targets had just left.
+pub(super) fn add_recorded(entry: &Arc<Entry>, recorded: &BTreeSet<ServiceSoftware>) {
+    let mut registry = entry.registry.lock().expect("the lock is not poisoned");
+    registry.add_software(recorded, entry.now());
+    publish_software(entry, registry.software(entry.now()));
+    entry.has_software_record.store(true, Ordering::Relaxed);
+}
+
 /// Excludes a target from new calls because it said in a response that it is leaving.
 pub(crate) fn exclude_leaving(entry: &Arc<Entry>, target: &Target) {
     let is_new = {
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -7,7 +7,7 @@
     collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -34,8 +34,8 @@
     origins::{Origins, Software, SoftwareByService},
     paths::Paths,
     peers::PeerClient,
-    ports::{RoutesSource, TargetsSource, Upstream},
-    registry::{Target, TargetRegistry},
+    ports::{RoutesSource, SoftwareRecord, TargetsSource, Upstream},
+    registry::{SOFTWARE_RETENTION, Target, TargetRegistry},
     routes::Routes,
     settings::{EntrySettings, ReloadableSettings},
     shards::Shards,
@@ -60,6 +60,8 @@
     pub shared_log: Arc<dyn SharedLog>,
     /// The source of the operator's routes.
     pub routes_source: Arc<dyn RoutesSource>,
+    /// The record of the versions of services' software.
+    pub software_record: Arc<dyn SoftwareRecord>,
     /// The source of the target registrations.
     pub targets_source: Arc<dyn TargetsSource>,
     /// The client that sends requests to targets.
@@ -108,6 +110,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) shared_log: Arc<dyn SharedLog>,
     pub(crate) routes_source: Arc<dyn RoutesSource>,
+    pub(crate) software_record: Arc<dyn SoftwareRecord>,
     pub(crate) targets_source: Arc<dyn TargetsSource>,
     pub(crate) upstream: Arc<dyn Upstream>,
     pub(crate) peers: Arc<dyn PeerClient>,
@@ -135,6 +138,8 @@
     pub(crate) origins: Origins,
     /// The versions of software of each service.
     pub(crate) software: watch::Sender<Arc<SoftwareByService>>,
+    /// Whether `software` includes the versions from before this host started.
+    pub(crate) has_software_record: AtomicBool,
     /// The calls that are suspected of crashing targets.
     pub(crate) suspects: SuspectedCalls,
     /// The paths to targets, direct ones and by way of other hosts.
@@ -170,6 +175,7 @@
             limits: TargetLimits::default(),
             origins: Origins::default(),
             software: watch::Sender::new(Arc::default()),
+            has_software_record: AtomicBool::new(false),
             suspects: SuspectedCalls::default(),
             paths: Paths::default(),
             auth_keys: AuthKeys::new(KeySettings::decode(&dependencies.settings.keys.shared)),
@@ -184,6 +190,7 @@
             clock: dependencies.clock,
             shared_log: dependencies.shared_log,
             routes_source: dependencies.routes_source,
+            software_record: dependencies.software_record,
             targets_source: dependencies.targets_source,
             upstream: dependencies.upstream,
             peers: dependencies.peers,
@@ -351,6 +358,17 @@
         self.software.borrow().get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns whether this host knows of all versions whose streams may still be taken up: from the
+    /// record, or as it has been running for long enough.
+    pub(crate) fn knows_software(&self) -> bool {
+        self.has_software_record.load(Ordering::Relaxed) || SOFTWARE_RETENTION < self.now()
+    }
+
+    /// Returns the fingerprint of a service's name.
+    pub(crate) fn service_fingerprint(&self, service: &ServiceName) -> Fingerprint {
+        Fingerprint::of_service(service, &self.fingerprint_key)
+    }
+
     /// Returns the fingerprint of a call's path.
     pub(crate) fn path_fingerprint(&self, call: &Call) -> Fingerprint {
         Fingerprint::of_path(call, &self.fingerprint_key)
--- a/crates/rosethread_entry/src/fingerprint.rs
+++ b/crates/rosethread_entry/src/fingerprint.rs
@@ -4,7 +4,7 @@
 
 use hmac::{Hmac, KeyInit, Mac};
 use http::header;
-use rosethread_types::RequestId;
+use rosethread_types::{RequestId, ServiceName};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
@@ -33,6 +33,11 @@
         keyed_digest(key, [DOMAIN, b"attempt", id.as_str().as_bytes()].into_iter())
     }
 
+    /// Returns the fingerprint of a service's name.
+    pub(crate) fn of_service(service: &ServiceName, key: &[u8]) -> Fingerprint {
+        keyed_digest(key, [DOMAIN, b"service", service.as_str().as_bytes()].into_iter())
+    }
+
     /// Returns the fingerprint that all calls of a caller for one path share.
     pub fn of_path(call: &Call, key: &[u8]) -> Fingerprint {
         digest(call, key, &[b"path"])
--- a/crates/rosethread_entry/src/origins.rs
+++ b/crates/rosethread_entry/src/origins.rs
@@ -51,7 +51,10 @@
 const LOST_STREAM_RETRY: Duration = Duration::from_millis(20);
 
 /// A version of software; `None` for targets whose registration names none.
-pub(crate) type Software = Option<SoftwareVersion>;
+pub type Software = Option<SoftwareVersion>;
+
+/// A version of a service's software.
+pub type ServiceSoftware = (ServiceName, Software);
 
 /// The versions that the targets of each service run or ran a short time ago.
 pub(crate) type SoftwareByService = BTreeMap<ServiceName, BTreeSet<Software>>;
@@ -195,7 +198,8 @@
     call: &Call,
     service: &ServiceName,
 ) -> Result<AllowedSoftware, Refusal> {
-    if call.resume_after.is_none() || entry.software(service).len() <= 1 {
+    let has_one_version = entry.knows_software() && entry.software(service).len() <= 1;
+    if call.resume_after.is_none() || has_one_version {
         return Ok(AllowedSoftware::Any);
     }
     let refuse = |detail: String| {
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -1,7 +1,7 @@
 //! The entry's interfaces to the platform that it runs on (the ports of a ports-and-adapters
 //! design); an adapter crate implements these traits.
 
-use std::{pin::Pin, time::Duration};
+use std::{collections::BTreeSet, pin::Pin, time::Duration};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -9,11 +9,13 @@
 use futures::Stream;
 use http::HeaderMap;
 use rosethread_platform::SharedLogError;
-use rosethread_types::{RequestId, Revision, TargetName};
+use rosethread_types::{RequestId, Revision, ServiceName, TargetName};
 
 use tokio::{net::TcpStream, time::Instant};
 use tokio_util::either::Either;
 
+pub use crate::origins::{ServiceSoftware, Software};
+
 use crate::{Call, Routes, Target, paths::PathStream};
 
 /// The source of the routes that the operator publishes.
@@ -47,6 +49,21 @@
     async fn fetch_changes(&self) -> Result<TargetChanges, SharedLogError>;
 }
 
+/// The record of the versions of software that the services' targets run, which outlives all hosts.
+#[async_trait]
+pub trait SoftwareRecord: Send + Sync {
+    /// Returns all versions in the record.
+    async fn read(&self) -> Result<BTreeSet<ServiceSoftware>, SharedLogError>;
+
+    /// Adds a version of a service's software, or removes it.
+    async fn write(
+        &self,
+        service: &ServiceName,
+        software: &Software,
+        is_present: bool,
+    ) -> Result<(), SharedLogError>;
+}
+
 /// A request to one target, which is one attempt to carry out a call.
 #[derive(Clone, Debug)]
 pub struct TargetRequest<'a> {
--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -93,7 +93,7 @@
 
 /// How long a version of the software counts after its last target has gone: longer than callers
 /// wait for the end of a stream that it began.
-const SOFTWARE_RETENTION: Duration = Duration::from_secs(60);
+pub(crate) const SOFTWARE_RETENTION: Duration = Duration::from_secs(60);
 
 /// A target's statement that it is leaving.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -264,6 +264,15 @@
         self.last_response.map(|it| now.saturating_sub(it))
     }
 
+    /// Adds versions whose targets may have left just before `now`.
+    pub fn add_software(
+        &mut self,
+        versions: &BTreeSet<(ServiceName, Option<SoftwareVersion>)>,
+        now: Duration,
+    ) {
+        self.software_seen.extend(versions.iter().map(|it| (it.clone(), now)));
+    }
+
     /// Returns the versions of the software that each service's targets run, or ran up to
     /// a minute ago.
     pub fn software(
