Hand targets the time that is left once a connection is open

What targets saw: the time left as it was before the connection was opened. Finding a way by another host took 100 ms and more of it, so that a target went on working after the caller's deadline.

Besides, without a change of what callers see: connections fail after 2 s without an acknowledgement, not 1.5, as a sound target may stop for a second or so; paths of targets that are gone are forgotten.

--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -117,8 +117,7 @@
 ) -> Result<Dispatched, Refusal> {
     let entry = &prepared.entry;
     loop {
-        let time_left = prepared.time_left();
-        if time_left.is_zero() {
+        if prepared.time_left().is_zero() {
             let detail = "the deadline passed before a target responded".to_owned();
             return Err(attempts.refuse(prepared, Reason::DeadlineExceeded, detail));
         }
@@ -151,7 +150,7 @@
         let request = TargetRequest {
             call: &prepared.call,
             body: prepared.body.clone(),
-            timeout: time_left,
+            deadline: prepared.deadline,
             resume_after,
             is_repeatable: prepared.route.is_repeatable(),
             rank: prepared.rank,
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -87,6 +87,7 @@
         let bytes = entry.turns.expire(now, retention);
         entry.metrics.turn_bytes.set(bytes as i64);
         entry.origins.expire(now);
+        entry.paths.forget_unknown(&entry.targets());
         let mut programs = 0;
         let shards = entry.shards.all();
         for (_, shard) in &shards {
--- a/crates/rosethread_entry/src/paths.rs
+++ b/crates/rosethread_entry/src/paths.rs
@@ -9,6 +9,7 @@
 mod silence;
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     pin::pin,
     sync::{Arc, Mutex, MutexGuard},
@@ -123,6 +124,11 @@
         self.reach().forget(target);
     }
 
+    /// Forgets the targets that are no longer known. Calls that end late may have recorded them again.
+    pub(crate) fn forget_unknown(&self, targets: &BTreeMap<TargetName, Target>) {
+        self.reach().retain(|it| targets.contains_key(it));
+    }
+
     /// Returns the time up to which idle connections to targets may have gone silent since.
     pub(crate) fn doubt_since(&self) -> Option<Duration> {
         self.reach().doubt_since()
--- a/crates/rosethread_entry/src/paths/silence.rs
+++ b/crates/rosethread_entry/src/paths/silence.rs
@@ -5,8 +5,8 @@
 use socket2::{SockRef, TcpKeepalive};
 
 /// The time without an acknowledgement after which a connection fails. A sound target may stop for a
-/// second, and callers give up a stream after two.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// second or so.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The idle time after which the other side is asked whether it is there, and the time between two such
 /// probes, in the unit of the operating system. Without a reply, the second probe fails the connection.
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -1,7 +1,7 @@
 //! The entry's interfaces to the platform that it runs on (the ports of a ports-and-adapters
 //! design); an adapter crate implements these traits.
 
-use std::{collections::BTreeSet, pin::Pin, time::Duration};
+use std::{collections::BTreeSet, pin::Pin};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -71,8 +71,8 @@
     pub call: &'a Call,
     /// The body, preceded by the earlier turns if the route keeps a history.
     pub body: Bytes,
-    /// The time left until the call's deadline.
-    pub timeout: Duration,
+    /// The call's deadline.
+    pub deadline: Instant,
     /// The ID of the last event that the caller received, for a stream that is being resumed.
     pub resume_after: Option<u64>,
     /// Whether the request may be sent again after it may have been executed.
--- a/crates/rosethread_policy/src/reach.rs
+++ b/crates/rosethread_policy/src/reach.rs
@@ -142,9 +142,13 @@
         self.failed.remove(target);
     }
 
-    /// Returns whether the direct path to a target is lost.
-    pub fn is_lost(&self, target: &TargetName) -> bool {
-        self.lost.get(target).is_some_and(|it| it.restored.is_none())
+    /// Forgets all targets but those for which `is_known` holds.
+    pub fn retain<F>(&mut self, is_known: F)
+    where
+        F: Fn(&TargetName) -> bool,
+    {
+        self.lost.retain(|it, _| is_known(it));
+        self.failed.retain(|it| is_known(it));
     }
 
     /// Returns the number of targets whose direct path is lost.
