--- a/crates/rosethread_entry/src/paths.rs
+++ b/crates/rosethread_entry/src/paths.rs
@@ -20,7 +20,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use futures::{SinkExt, StreamExt, stream::FuturesUnordered};
-use rosethread_membership::{MAC_BYTES, MAX_CLOCK_SKEW_MS};
+use rosethread_membership::{ClusterView, MAC_BYTES, MAX_CLOCK_SKEW_MS};
 use rosethread_policy::{DirectPath, PathLoss, Reach};
 use rosethread_types::{Incarnation, NodeName, TargetName};
 use serde::{Deserialize, Serialize};
@@ -147,8 +147,7 @@
 impl Connector for PathConnector<'_> {
     async fn open(&self, target: &Target) -> Result<TargetSocket, SendError> {
         let entry = self.0;
-        let has_others = entry.view().live().any(|it| it.node != entry.settings.node);
-        if !has_others {
+        if other_hosts(entry, &entry.view()).is_empty() {
             let socket = entry.upstream.connect(target).await;
             return socket.map(TargetSocket::Left).map_err(send_error);
         }
@@ -200,22 +199,25 @@
     match relayed {
         Ok(path) => {
             if failure.is_none() && !head_start.is_zero() {
-                entry.paths.reach().record_failed(&target.name, PathLoss::Silent, entry.now());
+                entry.paths.reach().record_failed(&target.name);
+                failure = Some(PathLoss::Silent);
             }
-            record_lost(entry, target);
+            // Without a head start, an answer that has not come yet says nothing of the connections.
+            record_lost(entry, target, failure.unwrap_or(PathLoss::Refused));
             Ok(TargetSocket::Right(path))
         }
         Err(error) => {
-            if failure.is_none() {
-                match direct.await {
+            let loss = match failure {
+                Some(loss) => loss,
+                None => match direct.await {
                     Ok(socket) => return Ok(TargetSocket::Left(socket)),
                     Err(error) => path_loss(error)?,
-                };
-            }
-            if error == NoRelay::TargetFailed && !entry.paths.reach().is_cut_off() {
-                entry.paths.forget(&target.name);
+                },
+            };
+            if entry.paths.reach().is_cut_off() {
+                record_lost(entry, target, loss);
             } else {
-                record_lost(entry, target);
+                entry.paths.reach().record_unreachable(&target.name);
             }
             Err(SendError::NotSent(error.to_string()))
         }
@@ -234,29 +236,27 @@
 /// Connects to a target directly, and records whether that worked.
 async fn connect_directly(entry: &Arc<Entry>, target: &Target) -> Result<TcpStream, ConnectError> {
     let connected = entry.upstream.connect(target).await;
-    let loss = match &connected {
-        Ok(_) | Err(ConnectError::Full) => None,
-        Err(ConnectError::Refused) => Some(PathLoss::Refused),
-        Err(ConnectError::TimedOut) => Some(PathLoss::Silent),
-        Err(ConnectError::Failed(_)) => return connected,
-    };
     let mut reach = entry.paths.reach();
-    match loss {
-        Some(loss) => reach.record_failed(&target.name, loss, entry.now()),
-        None if reach.record_reached(&target.name, entry.now()) => {
-            info!(entry.logger, "paths: a direct path is back"; "target" => %target.name,
-                "lost" => reach.lost_count());
+    match &connected {
+        Ok(_) | Err(ConnectError::Full) => {
+            if reach.record_reached(&target.name, entry.now()) {
+                info!(entry.logger, "paths: a direct path is back"; "target" => %target.name,
+                    "lost" => reach.lost_count());
+            }
         }
-        None => (),
+        Err(ConnectError::Refused | ConnectError::TimedOut) => reach.record_failed(&target.name),
+        // The cause is at this host.
+        Err(ConnectError::Failed(_)) => (),
     }
+    drop(reach);
     connected
 }
 
-fn record_lost(entry: &Entry, target: &Target) {
+fn record_lost(entry: &Entry, target: &Target, loss: PathLoss) {
     let mut reach = entry.paths.reach();
-    if reach.record_lost(&target.name, entry.now(), entry.random.next_f64()) {
+    if reach.record_lost(&target.name, loss, entry.now(), entry.random.next_f64()) {
         warn!(entry.logger, "paths: lost the direct path to a target"; "target" => %target.name,
-            "start" => target.start.0, "lost" => reach.lost_count(),
+            "start" => target.start.0, "loss" => ?loss, "lost" => reach.lost_count(),
             "cut_off" => reach.is_cut_off());
     }
 }
@@ -273,8 +273,7 @@
 /// Asks other hosts for a path to a target, one after the other, until one opens it.
 async fn open_relayed(entry: &Arc<Entry>, target: &Target) -> Result<PathStream, NoRelay> {
     let view = entry.view();
-    let others = view.live().map(|it| it.node.clone()).filter(|it| *it != entry.settings.node);
-    let mut order = order_helpers(entry, others).into_iter().take(MAX_ASKED);
+    let mut order = order_helpers(entry, &view).into_iter().take(MAX_ASKED);
     let mut asked = FuturesUnordered::new();
     let mut failed = 0;
     loop {
@@ -300,11 +299,16 @@
     }
 }
 
-fn order_helpers<I>(entry: &Entry, hosts: I) -> Vec<NodeName>
-where
-    I: IntoIterator<Item = NodeName>,
-{
-    entry.paths.reach().order_helpers(hosts, entry.now(), || entry.random.next_u64())
+/// Returns the live hosts other than this one.
+fn other_hosts(entry: &Entry, view: &ClusterView) -> Vec<NodeName> {
+    let others = view.live().map(|it| &it.node).filter(|it| **it != entry.settings.node);
+    others.cloned().collect()
+}
+
+/// Returns the other hosts in the order in which they are asked.
+fn order_helpers(entry: &Entry, view: &ClusterView) -> Vec<NodeName> {
+    let others = other_hosts(entry, view);
+    entry.paths.reach().order_helpers(others, entry.now(), || entry.random.next_u64())
 }
 
 /// Asks one host for a path, and records whether it helped.
@@ -351,13 +355,12 @@
     id: u64,
     request: PathRequest,
 ) {
+    // Held until the path ends.
     let permit = entry.paths.granted.try_acquire();
     // A shutdown waits for the paths, as for the calls in progress.
     let _guard = entry.count_call();
-    let opened = match permit {
-        Ok(_) => connect_for(entry, &request).await,
-        Err(_) => Err(NoPath::Busy),
-    };
+    let opened =
+        if permit.is_ok() { connect_for(entry, &request).await } else { Err(NoPath::Busy) };
     let reply = match &opened {
         Ok(_) => PeerReply::Done,
         Err(reason) => {
@@ -406,20 +409,21 @@
     if plan == DirectPath::Down {
         return Err(NoPath::CutOff);
     }
-    let failure = match timeout(HELP_CONNECT_TIMEOUT, connect_directly(entry, &target)).await {
+    let (loss, reason) = match timeout(HELP_CONNECT_TIMEOUT, connect_directly(entry, &target)).await
+    {
         Ok(Ok(socket)) => return Ok(socket),
-        Ok(Err(ConnectError::Refused)) => NoPath::Refused,
         Ok(Err(ConnectError::Full)) => return Err(NoPath::Full),
         Ok(Err(ConnectError::Failed(_))) => return Err(NoPath::Busy),
-        Ok(Err(ConnectError::TimedOut)) => NoPath::Silent,
+        Ok(Err(ConnectError::Refused)) => (PathLoss::Refused, NoPath::Refused),
+        Ok(Err(ConnectError::TimedOut)) => (PathLoss::Silent, NoPath::Silent),
         Err(_) => {
-            entry.paths.reach().record_failed(&target.name, PathLoss::Silent, entry.now());
-            NoPath::Silent
+            entry.paths.reach().record_failed(&target.name);
+            (PathLoss::Silent, NoPath::Silent)
         }
     };
     if !entry.paths.reach().is_cut_off() {
-        return Err(failure);
+        return Err(reason);
     }
-    record_lost(entry, &target);
+    record_lost(entry, &target, loss);
     Err(NoPath::CutOff)
 }
--- a/crates/rosethread_entry/src/paths/evidence.rs
+++ b/crates/rosethread_entry/src/paths/evidence.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
+use rosethread_policy::PathLoss;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info};
 
@@ -44,8 +45,7 @@
         return false;
     }
     let view = entry.view();
-    let others = view.live().map(|it| it.node.clone()).filter(|it| *it != entry.settings.node);
-    let order = paths::order_helpers(entry, others);
+    let order = paths::order_helpers(entry, &view);
     let asked = order.iter().take(WITNESSES).filter_map(|it| view.get(it)).map(async |it| {
         let request = PeerRequest::ProbeTarget(paths::sign_request(entry, target, &it.node));
         let reply = entry.peers.request(it.contact.peer, request).await;
@@ -63,7 +63,7 @@
     info!(entry.logger, "paths: a target refuses connections"; "target" => %target.name,
         "start" => target.start.0, "others" => ?found, "has_ended" => has_ended);
     if found.contains(&Probe::Reached) {
-        paths::record_lost(entry, target);
+        paths::record_lost(entry, target, PathLoss::Refused);
     }
     has_ended
 }
--- a/crates/rosethread_policy/src/reach.rs
+++ b/crates/rosethread_policy/src/reach.rs
@@ -114,16 +114,22 @@
     }
 
     /// Records that a direct connection failed, which does not tell whose fault it is.
-    pub fn record_failed(&mut self, target: &TargetName, loss: PathLoss, now: Duration) {
+    pub fn record_failed(&mut self, target: &TargetName) {
         self.failed.insert(target.clone());
-        if loss == PathLoss::Silent {
-            self.doubt_since = Some(now);
-        }
     }
 
     /// Records that the direct path to a target is lost; returns whether that is new. `random` is a
     /// number from 0 to 1.
-    pub fn record_lost(&mut self, target: &TargetName, now: Duration, random: f64) -> bool {
+    pub fn record_lost(
+        &mut self,
+        target: &TargetName,
+        loss: PathLoss,
+        now: Duration,
+        random: f64,
+    ) -> bool {
+        if loss == PathLoss::Silent {
+            self.doubt_since = Some(now);
+        }
         let delay = match self.lost.get(target) {
             Some(path) if path.restored.is_none() => return false,
             Some(path) if path.restored.is_some_and(|at| now < at + STABLE_TIME) => {
@@ -136,7 +142,12 @@
         true
     }
 
-    /// Forgets a target that is gone, has restarted, or that no host reaches.
+    /// Records that a target is not reached by others either, so that its direct path is not the cause.
+    pub fn record_unreachable(&mut self, target: &TargetName) {
+        self.lost.remove(target);
+    }
+
+    /// Forgets a target that is gone or has restarted.
     pub fn forget(&mut self, target: &TargetName) {
         self.lost.remove(target);
         self.failed.remove(target);
--- a/crates/rosethread_policy/tests/reach.rs
+++ b/crates/rosethread_policy/tests/reach.rs
@@ -19,8 +19,10 @@
     Lost(u64),
     Reached(u64),
     Forgotten,
+    /// Other hosts don't reach it either.
+    Unreachable,
     /// Other targets are not reached either.
-    OthersFail(u32, u64),
+    OthersFail(u32),
 }
 
 fn check_plan(events: &[Event], at_ms: u64, expected: DirectPath) {
@@ -28,15 +30,20 @@
     for event in events {
         match *event {
             Event::Lost(at) => {
-                reach.record_failed(&target(1), PathLoss::Silent, ms(at));
-                reach.record_lost(&target(1), ms(at), 0.5);
+                reach.record_failed(&target(1));
+                reach.record_lost(&target(1), PathLoss::Silent, ms(at), 0.5);
             }
             Event::Reached(at) => {
                 reach.record_reached(&target(1), ms(at));
             }
             Event::Forgotten => reach.forget(&target(1)),
-            Event::OthersFail(count, at) => (2..2 + count)
-                .for_each(|it| reach.record_failed(&target(it), PathLoss::Refused, ms(at))),
+            Event::Unreachable => {
+                reach.record_failed(&target(1));
+                reach.record_unreachable(&target(1));
+            }
+            Event::OthersFail(count) => {
+                (2..2 + count).for_each(|it| reach.record_failed(&target(it)));
+            }
         }
     }
     assert_eq!(reach.plan_direct(&target(1), ms(at_ms), 0.5), expected);
@@ -54,17 +61,22 @@
         (&[Event::Lost(0), Event::Reached(300), Event::Lost(6_000)], 6_250, DirectPath::Trial);
     a_target_that_restarted_is_reached_directly:
         (&[Event::Lost(0), Event::Forgotten], 100, DirectPath::Up);
-    one_failed_target_says_nothing_of_others: (&[Event::OthersFail(1, 0)], 10, DirectPath::Up);
-    a_host_that_reaches_no_target_tries_both_ways: (&[Event::OthersFail(2, 0)], 10, DirectPath::Trial);
+    one_failed_target_says_nothing_of_others: (&[Event::OthersFail(1)], 10, DirectPath::Up);
+    a_host_that_reaches_no_target_tries_both_ways: (&[Event::OthersFail(2)], 10, DirectPath::Trial);
     a_host_that_reaches_one_again_is_not_cut_off:
-        (&[Event::OthersFail(2, 0), Event::Reached(5)], 10, DirectPath::Up);
+        (&[Event::OthersFail(2), Event::Reached(5)], 10, DirectPath::Up);
+    a_target_that_no_host_reaches_is_tried_directly:
+        (&[Event::Lost(0), Event::Unreachable], 10, DirectPath::Up);
+    // Guards against hosts that never find out that they are cut off, as those they ask are cut off too.
+    targets_that_others_fail_to_reach_count_too:
+        (&[Event::Unreachable, Event::OthersFail(1)], 10, DirectPath::Trial);
 });
 
 // Guards against many calls that all wait for a path that is still lost.
 #[test]
 fn one_call_at_a_time_tries_a_lost_path() {
     let mut reach = Reach::default();
-    reach.record_lost(&target(1), ms(0), 0.5);
+    reach.record_lost(&target(1), PathLoss::Refused, ms(0), 0.5);
     let plans = (0..3).map(|_| reach.plan_direct(&target(1), ms(300), 0.5));
     let expected = [DirectPath::Trial, DirectPath::Down, DirectPath::Down];
     assert!(plans.eq(expected));
@@ -73,7 +85,7 @@
 #[test]
 fn trials_come_at_most_two_seconds_apart() {
     let mut reach = Reach::default();
-    reach.record_lost(&target(1), ms(0), 1.0);
+    reach.record_lost(&target(1), PathLoss::Refused, ms(0), 1.0);
     let trials = (0..600)
         .map(|it| ms(it * 100))
         .filter(|at| reach.plan_direct(&target(1), *at, 1.0) == DirectPath::Trial);
@@ -85,9 +97,10 @@
 #[test]
 fn only_a_loss_without_a_reply_puts_connections_in_doubt() {
     let mut reach = Reach::default();
-    reach.record_failed(&target(1), PathLoss::Refused, ms(5));
+    reach.record_lost(&target(1), PathLoss::Refused, ms(5), 0.5);
+    reach.record_failed(&target(2));
     assert_eq!(reach.doubt_since(), None);
-    reach.record_failed(&target(1), PathLoss::Silent, ms(7));
+    reach.record_lost(&target(2), PathLoss::Silent, ms(7), 0.5);
     assert_eq!(reach.doubt_since(), Some(ms(7)));
 }
 
