A full target is full by way of other hosts too; opening paths for others has its own module

Cause, read in the change: a target at its limit of connections, as another host found it, counted as a failed send, which opens the target's breaker after three, and up to seven more hosts were asked for it. A host that said something of the target (full, leaving, another run) was also asked last for 2 s, as if it could not help.

Moved without a change: paths::grant.

--- a/crates/rosethread_entry/src/paths.rs
+++ b/crates/rosethread_entry/src/paths.rs
@@ -5,6 +5,7 @@
 //! See `docs/design/paths.md`.
 
 mod evidence;
+mod grant;
 mod relay;
 mod silence;
 
@@ -17,26 +18,24 @@
 };
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use displaydoc::Display;
-use futures::{SinkExt, StreamExt, stream::FuturesUnordered};
-use rosethread_membership::{ClusterView, MAC_BYTES, MAX_CLOCK_SKEW_MS};
+use futures::{StreamExt, stream::FuturesUnordered};
+use rosethread_membership::{ClusterView, MAC_BYTES};
 use rosethread_policy::{DirectPath, PathLoss, Reach};
 use rosethread_types::{Incarnation, NodeName, TargetName};
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
 use tokio::{net::TcpStream, sync::Semaphore, time::timeout};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::{
-    entry::{Entry, Phase},
-    peers::PeerReply,
+    entry::Entry,
     ports::{ConnectError, Connector, SendError, TargetSocket},
-    registry::{Target, TargetStatus},
+    registry::Target,
 };
 
 pub use evidence::Probe;
 pub(crate) use evidence::{answer as answer_probe, has_ended};
+pub(crate) use grant::serve_path;
 pub use relay::PathStream;
 pub use silence::limit_silence;
 
@@ -44,9 +43,6 @@
 /// again only after a second.
 const DIRECT_HEAD_START: Duration = Duration::from_millis(100);
 
-/// The time in which a host that is asked for a path connects to the target.
-const HELP_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// The time in which a host that is asked for a path replies.
 const HELP_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -147,7 +143,7 @@
 impl Connector for PathConnector<'_> {
     async fn open(&self, target: &Target) -> Result<TargetSocket, SendError> {
         let entry = self.0;
-        if other_hosts(entry, &entry.view()).is_empty() {
+        if !entry.view().live().any(|it| it.node != entry.settings.node) {
             let socket = entry.upstream.connect(target).await;
             return socket.map(TargetSocket::Left).map_err(send_error);
         }
@@ -158,7 +154,7 @@
             DirectPath::Trial => open_first(entry, target, Duration::ZERO).await,
             DirectPath::Down => match open_relayed(entry, target).await {
                 Ok(path) => Ok(TargetSocket::Right(path)),
-                Err(error) => Err(SendError::NotSent(error.to_string())),
+                Err(error) => Err(error.into()),
             },
         }
     }
@@ -206,6 +202,7 @@
             record_lost(entry, target, failure.unwrap_or(PathLoss::Refused));
             Ok(TargetSocket::Right(path))
         }
+        Err(NoRelay::Full) => Err(SendError::Full),
         Err(error) => {
             let loss = match failure {
                 Some(loss) => loss,
@@ -219,7 +216,7 @@
             } else {
                 entry.paths.reach().record_unreachable(&target.name);
             }
-            Err(SendError::NotSent(error.to_string()))
+            Err(error.into())
         }
     }
 }
@@ -268,6 +265,17 @@
     TargetFailed,
     /// no other host opened a path to the target
     NoHelp,
+    /// the target is at its limit of connections
+    Full,
+}
+
+impl From<NoRelay> for SendError {
+    fn from(error: NoRelay) -> SendError {
+        match error {
+            NoRelay::Full => SendError::Full,
+            error => SendError::NotSent(error.to_string()),
+        }
+    }
 }
 
 /// Asks other hosts for a path to a target, one after the other, until one opens it.
@@ -292,6 +300,7 @@
                     return Err(NoRelay::TargetFailed);
                 }
             }
+            Ok(Some(Err(Some(NoPath::Full)))) => return Err(NoRelay::Full),
             Ok(None) if is_last && failed == 0 => return Err(NoRelay::NoHelp),
             Ok(None) if is_last => return Err(NoRelay::TargetFailed),
             Ok(_) | Err(_) => (),
@@ -299,15 +308,9 @@
     }
 }
 
-/// Returns the live hosts other than this one.
-fn other_hosts(entry: &Entry, view: &ClusterView) -> Vec<NodeName> {
-    let others = view.live().map(|it| &it.node).filter(|it| **it != entry.settings.node);
-    others.cloned().collect()
-}
-
 /// Returns the other hosts in the order in which they are asked.
 fn order_helpers(entry: &Entry, view: &ClusterView) -> Vec<NodeName> {
-    let others = other_hosts(entry, view);
+    let others = view.live().map(|it| it.node.clone()).filter(|it| *it != entry.settings.node);
     entry.paths.reach().order_helpers(others, entry.now(), || entry.random.next_u64())
 }
 
@@ -330,7 +333,14 @@
         }
         Err(_) => Err(None),
     };
-    entry.paths.reach().record_help(host, result.is_ok(), entry.now());
+    // What a host says of the target alone says nothing of the help that it can give.
+    let is_of_target = matches!(
+        result,
+        Err(Some(NoPath::Unknown | NoPath::Restarted | NoPath::Leaving | NoPath::Full))
+    );
+    if !is_of_target {
+        entry.paths.reach().record_help(host, result.is_ok(), entry.now());
+    }
     if let Err(reason) = &result {
         debug!(entry.logger, "paths: a host opens no path"; "host" => %host,
             "target" => %target.name, "reason" => reason.map(|it| it.to_string()));
@@ -347,83 +357,3 @@
 fn signed_bytes(target: &TargetName, start: Incarnation, sent_ms: u64, host: &NodeName) -> Vec<u8> {
     postcard::to_stdvec(&(DOMAIN, target, start, sent_ms, host)).expect("a request serialises")
 }
-
-/// Opens a path for another host, and carries it to its end.
-pub(crate) async fn serve_path(
-    entry: &Arc<Entry>,
-    mut framed: Framed<TcpStream, LengthDelimitedCodec>,
-    id: u64,
-    request: PathRequest,
-) {
-    // Held until the path ends.
-    let permit = entry.paths.granted.try_acquire();
-    // A shutdown waits for the paths, as for the calls in progress.
-    let _guard = entry.count_call();
-    let opened =
-        if permit.is_ok() { connect_for(entry, &request).await } else { Err(NoPath::Busy) };
-    let reply = match &opened {
-        Ok(_) => PeerReply::Done,
-        Err(reason) => {
-            debug!(entry.logger, "paths: refusing a path"; "target" => %request.target,
-                "reason" => %reason);
-            PeerReply::NoPath(*reason)
-        }
-    };
-    let Ok(frame) = reply.encode(id) else {
-        return;
-    };
-    if framed.send(Bytes::from(frame)).await.is_err() {
-        return;
-    }
-    if let Ok(socket) = opened {
-        entry.metrics.granted_paths.inc();
-        relay::carry(framed, socket).await;
-    }
-}
-
-/// Returns the target that another host means, if that host may know what becomes of connections to it.
-fn find_target(entry: &Entry, request: &PathRequest) -> Result<Target, NoPath> {
-    let PathRequest { target, start, sent_ms, mac } = request;
-    let signed = signed_bytes(target, *start, *sent_ms, &entry.settings.node);
-    let is_recent = entry.clock.now_ms().abs_diff(*sent_ms) <= MAX_CLOCK_SKEW_MS;
-    if !is_recent || !entry.auth_keys.verify(&signed, mac) {
-        return Err(NoPath::NotAuthentic);
-    }
-    match entry.targets().get(target) {
-        Some(target) if target.start == *start => Ok(target.clone()),
-        Some(target) if *start < target.start => Err(NoPath::Restarted),
-        _ => Err(NoPath::Unknown),
-    }
-}
-
-/// Connects to a target for another host.
-async fn connect_for(entry: &Arc<Entry>, request: &PathRequest) -> Result<TcpStream, NoPath> {
-    let target = find_target(entry, request)?;
-    if entry.phase() != Phase::Serving {
-        return Err(NoPath::Busy);
-    }
-    if target.status != TargetStatus::Ready {
-        return Err(NoPath::Leaving);
-    }
-    let plan = entry.paths.reach().plan_direct(&target.name, entry.now(), entry.random.next_f64());
-    if plan == DirectPath::Down {
-        return Err(NoPath::CutOff);
-    }
-    let (loss, reason) = match timeout(HELP_CONNECT_TIMEOUT, connect_directly(entry, &target)).await
-    {
-        Ok(Ok(socket)) => return Ok(socket),
-        Ok(Err(ConnectError::Full)) => return Err(NoPath::Full),
-        Ok(Err(ConnectError::Failed(_))) => return Err(NoPath::Busy),
-        Ok(Err(ConnectError::Refused)) => (PathLoss::Refused, NoPath::Refused),
-        Ok(Err(ConnectError::TimedOut)) => (PathLoss::Silent, NoPath::Silent),
-        Err(_) => {
-            entry.paths.reach().record_failed(&target.name);
-            (PathLoss::Silent, NoPath::Silent)
-        }
-    };
-    if !entry.paths.reach().is_cut_off() {
-        return Err(reason);
-    }
-    record_lost(entry, &target, loss);
-    Err(NoPath::CutOff)
-}
--- a/crates/rosethread_entry/src/paths/evidence.rs
+++ b/crates/rosethread_entry/src/paths/evidence.rs
@@ -70,7 +70,7 @@
 
 /// Answers another host's question for a target.
 pub(crate) async fn answer(entry: &Arc<Entry>, request: &PathRequest) -> Probe {
-    match paths::find_target(entry, request) {
+    match paths::grant::find_target(entry, request) {
         Ok(target) => probe(entry, &target).await,
         Err(NoPath::Restarted) => Probe::Ended,
         Err(_) => Probe::Unclear,
