--- a/crates/rosethread_entry/src/paths/silence.rs
+++ b/crates/rosethread_entry/src/paths/silence.rs
@@ -12,7 +12,7 @@
 /// probes, in the unit of the operating system. Without a reply, the second probe fails the connection.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Makes a connection fail when its other side has acknowledged no data for [`SILENCE_TIMEOUT`], or has
+/// Makes a connection fail when its other side has acknowledged no data for two seconds, or has
 /// not replied to two probes.
 ///
 /// The operating system's probes tell a partition from a target that works on a request: that one
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -120,11 +120,10 @@
 }
 
 impl PeerRequest {
-    /// Returns whether nodes of the last release know the request.
+    /// Returns whether the request shares the connection with those that all releases know.
     ///
-    /// They close the connection on one that they don't know, so that it must not share one with
-    /// requests that they do.
-    fn is_known_to_last_release(&self) -> bool {
+    /// The last release says that it doesn't know a request; those before it close the connection.
+    fn shares_connection(&self) -> bool {
         !matches!(self, PeerRequest::NoteOrigins { .. } | PeerRequest::FindOrigin { .. })
     }
 }
--- a/crates/rosethread_entry/src/peers/client.rs
+++ b/crates/rosethread_entry/src/peers/client.rs
@@ -44,7 +44,7 @@
 #[derive(Default)]
 struct Connections {
     next_id: u64,
-    /// By address, and whether nodes of the last release know the connection's requests.
+    /// By address, and whether it is the shared one.
     open: BTreeMap<(SocketAddr, bool), Connection>,
 }
 
@@ -59,8 +59,8 @@
         self.connections.lock().expect("the lock is not poisoned")
     }
 
-    async fn connection(&self, to: SocketAddr, is_known: bool) -> Result<Connection, PeerError> {
-        if let Some(connection) = self.lock().open.get(&(to, is_known))
+    async fn connection(&self, to: SocketAddr, is_shared: bool) -> Result<Connection, PeerError> {
+        if let Some(connection) = self.lock().open.get(&(to, is_shared))
             && !connection.frames.is_closed()
         {
             return Ok(connection.clone());
@@ -77,7 +77,7 @@
         let mut connections = self.lock();
         connections.next_id += 1;
         let connection = Connection { id: connections.next_id, frames, pending, last_received };
-        connections.open.insert((to, is_known), connection.clone());
+        connections.open.insert((to, is_shared), connection.clone());
         Ok(connection)
     }
 
@@ -93,7 +93,7 @@
 #[async_trait]
 impl PeerClient for TcpPeerClient {
     async fn request(&self, to: SocketAddr, request: PeerRequest) -> Result<PeerReply, PeerError> {
-        let connection = self.connection(to, request.is_known_to_last_release()).await?;
+        let connection = self.connection(to, request.shares_connection()).await?;
         let (sender, receiver) = oneshot::channel();
         let id = {
             let mut connections = self.lock();
