Frames for paths and probes beside the last landing's reply to them

Cause: the tests held old frames, but not what a host of the last landing says to the new ones; that was read in its code only.

The new test holds these bytes on both sides. A host that says so counts as one that cannot help, or be a witness; no play ran both releases side by side.

Conclusion: while hosts are replaced in turn, those of the last landing are passed by, and connections to them stay open.

--- a/crates/rosethread_entry/tests/peers.rs
+++ b/crates/rosethread_entry/tests/peers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rosethread_entry::{PeerReply, PeerRequest, Target, TargetStatus};
+use rosethread_entry::{PathRequest, PeerReply, PeerRequest, Target, TargetStatus};
 use rosethread_types::Incarnation;
 
 /// The reply to request 7 with [`target`] as the last release sent it.
@@ -50,6 +50,29 @@
 /// release sent them.
 const LAST_RELEASE_FIND_ORIGIN: (&str, &str) = ("090905", "090900");
 
+/// The last release's reply to requests of the kinds 10 and 11, which it does not know.
+const LAST_RELEASE_UNKNOWN: &str = "05080f756e6b6e6f776e2072657175657374";
+
+// Guards against a new request whose refusal by the last release passes for a host's word on a target.
+#[test]
+fn the_last_release_says_that_it_knows_no_requests_for_paths() {
+    let request = PathRequest {
+        target: "t-1".parse().unwrap(),
+        start: Incarnation(1_000),
+        sent_ms: 7,
+        mac: [9; 16],
+    };
+    for (kind, request) in
+        [(10, PeerRequest::OpenPath(request.clone())), (11, PeerRequest::ProbeTarget(request))]
+    {
+        let mut expected = vec![5, kind, 3, b't', b'-', b'1', 0xe8, 7, 7];
+        expected.extend([9; 16]);
+        assert_eq!(postcard::to_stdvec(&(5_u64, request)).unwrap(), expected);
+    }
+    let reply = PeerReply::decode(&hex::decode(LAST_RELEASE_UNKNOWN).unwrap()).unwrap();
+    assert_eq!(reply, (5, PeerReply::Unable("unknown request".to_owned())));
+}
+
 #[test]
 fn requests_for_paths_leave_those_of_the_last_release_as_they_were() {
     let request = hex::decode(LAST_RELEASE_FIND_ORIGIN.0).unwrap();
