Look for another way where a connection is reset while it is being opened

What callers saw (in a test beside load, traced with logs): a host whose link to the only target was being cut refused a call after one send, `the request was not sent: Connection reset by peer`, although another host reached the target.

Cause: only a refused and a silent address counted as a lost path; a reset while connecting counted as a failure of this host.

Change: ConnectError::Reset, which looks for another way, and is no evidence of a crash: a target at its limit of connections resets them too.

--- a/crates/rosethread_entry/src/paths.rs
+++ b/crates/rosethread_entry/src/paths.rs
@@ -224,7 +224,7 @@
 /// Returns how the path failed, or the error for the request if the path is not the cause.
 fn path_loss(error: ConnectError) -> Result<PathLoss, SendError> {
     match error {
-        ConnectError::Refused => Ok(PathLoss::Refused),
+        ConnectError::Refused | ConnectError::Reset => Ok(PathLoss::Refused),
         ConnectError::TimedOut => Ok(PathLoss::Silent),
         error => Err(send_error(error)),
     }
@@ -241,7 +241,9 @@
                     "lost" => reach.lost_count());
             }
         }
-        Err(ConnectError::Refused | ConnectError::TimedOut) => reach.record_failed(&target.name),
+        Err(ConnectError::Refused | ConnectError::Reset | ConnectError::TimedOut) => {
+            reach.record_failed(&target.name);
+        }
         // The cause is at this host.
         Err(ConnectError::Failed(_)) => (),
     }
--- a/crates/rosethread_entry/src/paths/grant.rs
+++ b/crates/rosethread_entry/src/paths/grant.rs
@@ -86,7 +86,9 @@
         Ok(Ok(socket)) => return Ok(socket),
         Ok(Err(ConnectError::Full)) => return Err(NoPath::Full),
         Ok(Err(ConnectError::Failed(_))) => return Err(NoPath::Busy),
-        Ok(Err(ConnectError::Refused)) => (PathLoss::Refused, NoPath::Refused),
+        Ok(Err(ConnectError::Refused | ConnectError::Reset)) => {
+            (PathLoss::Refused, NoPath::Refused)
+        }
         Ok(Err(ConnectError::TimedOut)) => (PathLoss::Silent, NoPath::Silent),
         Err(_) => {
             entry.paths.reach().record_failed(&target.name);
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -1,7 +1,7 @@
 //! The entry's interfaces to the platform that it runs on (the ports of a ports-and-adapters
 //! design); an adapter crate implements these traits.
 
-use std::{collections::BTreeSet, pin::Pin};
+use std::{collections::BTreeSet, io, pin::Pin};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -145,6 +145,9 @@
 pub enum ConnectError {
     /// the address refuses connections
     Refused,
+    // It may have taken the connection, and closed it at once.
+    /// the connection was reset while it was being opened
+    Reset,
     /// the address does not reply
     TimedOut,
     // The target closed the connection before a request was sent on it.
@@ -156,6 +159,21 @@
 
 impl std::error::Error for ConnectError {}
 
+impl From<io::Error> for ConnectError {
+    /// Tells apart what the other side or the network did from what failed at this host.
+    fn from(error: io::Error) -> ConnectError {
+        use io::ErrorKind;
+        match error.kind() {
+            ErrorKind::ConnectionRefused => ConnectError::Refused,
+            ErrorKind::ConnectionReset => ConnectError::Reset,
+            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+                ConnectError::TimedOut
+            }
+            _ => ConnectError::Failed(error.to_string()),
+        }
+    }
+}
+
 /// A connection to a target: a direct one, or a path through another host.
 pub type TargetSocket = Either<TcpStream, PathStream>;
 
