Let a turn wait for the settlement of the one before it, which it may overtake

Change: where turns of the program are in progress, the owner waits for settlements of the shard before it answers `uncertain`, 100 ms at most. Nothing is granted that was not before: the decision is made anew, by the same rule.

Ruled out: waiting at the host that sends the end of the answer, which would hold back all ends for the sake of a few turns.

--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -9,7 +9,7 @@
 use futures::future::join_all;
 use rosethread_types::{NodeName, Reason, Refusal};
 use slog::{debug, info, warn};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
     entry::Entry,
@@ -28,6 +28,10 @@
 /// The maximum time that a turn waits for the record of a higher ceiling.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The maximum time that a turn waits for the settlement of others in progress before it is refused. A
+/// program may go on with its next turn before the settlement of the last one has arrived.
+const SETTLEMENT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The retry delay returned to the caller when no owner could decide.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -157,7 +161,9 @@
 ) -> Result<Verdict, NotOwned> {
     let shard = shards::ensure_owned(entry, index).await?;
     let unable = |detail: String| NotOwned { owner: None, detail };
+    let give_up_at = Instant::now() + SETTLEMENT_TIMEOUT;
     loop {
+        let settled = shard.settled.notified();
         let verdict = {
             let ended = entry.shards.ended();
             if ended.get(&index).is_some_and(|it| it.contains(ask.grant)) {
@@ -165,6 +171,12 @@
             }
             shard.ledger().request_grant(ask, entry.now())
         };
+        if verdict == Verdict::Uncertain
+            && shard.ledger().balance(&ask.program).turns != 0
+            && timeout_at(give_up_at, settled).await.is_ok()
+        {
+            continue;
+        }
         match verdict {
             Verdict::Record(tokens) => raise_ceiling(&shard, ask, tokens).await.map_err(unable)?,
             Verdict::Granted { .. } => {
@@ -236,7 +248,11 @@
         let is_new = ended.entry(index).or_default().insert(settlement.grant, now);
         // A settlement that is sent again, since its reply was lost, counts once.
         let shard = entry.shards.get(index).filter(|_| is_new);
-        (is_new, shard.is_some_and(|it| it.ledger().settle(settlement, now)))
+        let was_open = shard.as_ref().is_some_and(|it| it.ledger().settle(settlement, now));
+        if let Some(shard) = shard {
+            shard.settled.notify_waiters();
+        }
+        (is_new, was_open)
     };
     // A turn that was refused has no open grant and has used nothing, so it is not logged.
     if is_new && !was_open && settlement.used != 0 {
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 use slog::info;
 use tokio::{
-    sync::{OwnedMutexGuard, oneshot},
+    sync::{Notify, OwnedMutexGuard, oneshot},
     time::{Instant, timeout},
 };
 
@@ -52,6 +52,8 @@
     /// Set when the log has fenced the shard or its accounts were handed over; shared with the
     /// writer.
     is_lost: Arc<AtomicBool>,
+    /// Wakes the requests for tokens that wait for a turn of the shard to be settled.
+    pub(crate) settled: Notify,
 }
 
 impl Shard {
@@ -396,7 +398,8 @@
         "programs" => ledger.len(), "kept" => is_adopted);
     if is_adopted {
         let ledger = Mutex::new(ledger);
-        let shard = Shard { epoch, ledger, writer: None, is_lost: Arc::default() };
+        let (is_lost, settled) = (Arc::default(), Notify::new());
+        let shard = Shard { epoch, ledger, writer: None, is_lost, settled };
         entry.shards.insert(index, Arc::new(shard));
     }
 }
--- a/crates/rosethread_entry/src/shards/claim.rs
+++ b/crates/rosethread_entry/src/shards/claim.rs
@@ -11,6 +11,7 @@
 use rosethread_platform::{FencingToken, SharedLogError};
 use rosethread_types::{Incarnation, NodeName};
 use slog::{info, warn};
+use tokio::sync::Notify;
 
 use crate::{
     entry::Entry,
@@ -63,7 +64,8 @@
     let is_lost = Arc::new(AtomicBool::new(false));
     let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
     state.ledger.reset_last_used(entry.now());
-    Ok(Arc::new(Shard { epoch, ledger: Mutex::new(state.ledger), writer: Some(writer), is_lost }))
+    let (ledger, writer, settled) = (Mutex::new(state.ledger), Some(writer), Notify::new());
+    Ok(Arc::new(Shard { epoch, ledger, writer, is_lost, settled }))
 }
 
 /// Appends the claim's records, and repeats the append once if the first one got no reply.
