review: a draining host takes calls that it cuts off

Rule: LOST, around planned work (a SIGTERM). Order of events: a host gets SIGTERM; clients with a directory answer that is still valid send it requests 4.45 to 4.6 s later; it passes them on; it ends at 7.55 s of a grace period of 8 s, while the servers still work on them, and closes the connections without a complete answer.

--- /dev/null
+++ b/review/harness/target.rs
@@ -0,0 +1,202 @@
+//! Stand-ins of servers: they register in the store, run requests, and note what they ran.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    http::{Connection, Request},
+    record::Record,
+    store::Store,
+};
+
+/// The time between two reports of a server to the store, `heartbeat_ms`.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// How a server handles a request.
+#[derive(Clone, Copy)]
+pub enum Work {
+    /// Works for this long, and answers with a whole body.
+    Whole(Duration),
+    /// Sends its first event after `first`, and the others with pauses of `gap`.
+    Stream { first: Duration, gap: Duration, events: u64 },
+    /// Sends its first event after this time, and then bytes that are no event until the caller closes.
+    Endless(Duration),
+}
+
+/// A run of a request at a server.
+#[derive(Clone)]
+pub struct Run {
+    pub server: String,
+    pub attempt: String,
+    /// The `Last-Event-Id` of the request.
+    pub after: u64,
+    pub started: Instant,
+    /// When the work ended, by its end or as the caller closed the connection.
+    pub ended: Option<Instant>,
+}
+
+type Planner = dyn Fn(&Request, &[Run]) -> Work + Send + Sync;
+
+/// The servers of a deployment; clones share their notes.
+#[derive(Clone)]
+pub struct Servers {
+    runs: Arc<Mutex<Vec<Run>>>,
+    record: Record,
+    planner: Arc<Planner>,
+}
+
+impl Servers {
+    /// Returns a group of servers; `planner` tells how a request is handled, and sees all runs so far.
+    pub fn new<F>(record: &Record, planner: F) -> Servers
+    where
+        F: Fn(&Request, &[Run]) -> Work + Send + Sync + 'static,
+    {
+        Servers { runs: Arc::default(), record: record.clone(), planner: Arc::new(planner) }
+    }
+
+    /// Returns all runs so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().unwrap().clone()
+    }
+
+    /// Starts a server of a service and registers it.
+    pub fn start(&self, store: &Store, service: &str, name: &str, capacity: u32) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let (servers, own_name) = (self.clone(), name.to_owned());
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                let (servers, name) = (servers.clone(), own_name.clone());
+                thread::spawn(move || servers.serve(&name, Connection::new(socket)));
+            }
+        });
+        let (store, service, name) = (store.clone(), service.to_owned(), name.to_owned());
+        thread::spawn(move || report(&store, &service, &name, address, capacity));
+    }
+
+    fn serve(&self, name: &str, mut connection: Connection) {
+        while let Ok(Some(request)) = connection.read_request() {
+            let header = |it: &str| request.headers.get(it).cloned().unwrap_or_default();
+            if request.path == "/healthz" {
+                if connection.respond(200, &[("Instance-Id", name)], b"").is_err() {
+                    return;
+                }
+                continue;
+            }
+            if header("expect-instance") != name {
+                if connection.respond(421, &[("Instance-Id", name)], b"").is_err() {
+                    return;
+                }
+                continue;
+            }
+            if !self.run(name, &mut connection, &request) {
+                return;
+            }
+        }
+    }
+
+    /// Runs a request; returns whether the connection can be used again.
+    fn run(&self, name: &str, connection: &mut Connection, request: &Request) -> bool {
+        let header = |it: &str| request.headers.get(it).cloned().unwrap_or_default();
+        let attempt = header("attempt-id");
+        let after = header("last-event-id").parse().unwrap_or(0);
+        let (index, work) = {
+            let mut runs = self.runs.lock().unwrap();
+            let work = (self.planner)(request, &runs);
+            runs.push(Run {
+                server: name.to_owned(),
+                attempt: attempt.clone(),
+                after,
+                started: Instant::now(),
+                ended: None,
+            });
+            (runs.len() - 1, work)
+        };
+        let deadline = header("deadline-ms");
+        self.record.line(format!(
+            "run    {attempt} at {name} path {} body {} after-event {after} deadline-ms {deadline}",
+            request.path,
+            request.body.len()
+        ));
+        let is_done = answer(connection, &attempt, after, work);
+        let mut runs = self.runs.lock().unwrap();
+        runs[index].ended = Some(Instant::now());
+        let end = if is_done { "done" } else { "the caller closed the connection" };
+        self.record.line(format!("run    {attempt} at {name} ended: {end}"));
+        is_done
+    }
+}
+
+/// Waits while a request is worked on; returns false if the caller closes the connection.
+fn wait(connection: &Connection, time: Duration) -> bool {
+    let until = Instant::now() + time;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return true;
+        }
+        thread::sleep(left.min(Duration::from_millis(10)));
+        if connection.is_closed() {
+            return false;
+        }
+    }
+}
+
+/// Works on a request and answers it; returns false if the caller closes the connection first.
+fn answer(connection: &mut Connection, attempt: &str, after: u64, work: Work) -> bool {
+    let common = [("Attempt-Id", attempt), ("Response-Seal", "seal")];
+    let stream_headers =
+        [common[0], common[1], ("Content-Type", "text/event-stream"), ("Weight-Versions", "1")];
+    let event = |number: u64| format!("id: {number}\ndata: {attempt}-{number}\n\n").into_bytes();
+    match work {
+        Work::Whole(time) => {
+            let body = format!("answer to {attempt}");
+            wait(connection, time) && connection.respond(200, &common, body.as_bytes()).is_ok()
+        }
+        Work::Stream { first, gap, events } => {
+            if !wait(connection, first) || connection.begin_chunks(200, &stream_headers).is_err() {
+                return false;
+            }
+            for number in after + 1..=events {
+                if number != after + 1 && !wait(connection, gap) {
+                    return false;
+                }
+                if connection.write_chunk(&event(number)).is_err() {
+                    return false;
+                }
+            }
+            connection.write_chunk(b"").is_ok()
+        }
+        Work::Endless(first) => {
+            if !wait(connection, first)
+                || connection.begin_chunks(200, &stream_headers).is_err()
+                || connection.write_chunk(&event(after + 1)).is_err()
+            {
+                return false;
+            }
+            let chunk = vec![b'x'; 4 << 10];
+            while connection.write_chunk(&chunk).is_ok() {
+                thread::sleep(Duration::from_millis(2));
+            }
+            false
+        }
+    }
+}
+
+/// Writes a server's entry to the store, again and again.
+fn report(store: &Store, service: &str, name: &str, address: SocketAddr, capacity: u32) {
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis());
+    for seq in 1_u64.. {
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\
+             \"version\":\"v1\",\"capacity\":{capacity},\"state\":\"ready\",\"cold_left_ms\":0,\
+             \"seq\":{seq},\"born\":{born}}}"
+        );
+        store.put("keyed.servers", name, &entry);
+        thread::sleep(HEARTBEAT);
+    }
+}
