review: programs that begin after a kill are refused for good

Rule: LOST, turns that reach no server in five tries or more. Order of events: one of three hosts is killed and started again; 8 s later new programs begin; after 11 whole turns and 550 of 800 tokens each try of the next turn gets 503, since a third of the budget counts as possibly spent by the owner that was killed before the program began.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod record;
 mod store;
+mod stranded;
 mod target;
 
 use std::{
@@ -107,6 +108,7 @@
     let case = Case { record: record.clone(), folder: folder.clone(), is_troubled };
     let runner: fn(&Case) -> Verdict = match name.as_str() {
         "drain" => drain::run,
+        "stranded" => stranded::run,
         _ => {
             eprintln!("unknown case {name}");
             exit(2);
