review: conversations older than the log's records end at a restart

Rule: LOST, turns that reach no server in five tries or more. Order of events: conversations have turns at 0, 16, 32 and 46 s; the hosts are restarted in turn; the store drops the first turn's record after 60 s; the next turn, 27 s after the last answer, gets 503 in each of six tries.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod drain;
+mod history;
 mod host;
 mod http;
 mod record;
@@ -108,6 +109,7 @@
     let case = Case { record: record.clone(), folder: folder.clone(), is_troubled };
     let runner: fn(&Case) -> Verdict = match name.as_str() {
         "drain" => drain::run,
+        "history" => history::run,
         "stranded" => stranded::run,
         _ => {
             eprintln!("unknown case {name}");
