review: an added host grants budgets a second time

Rule: BUDGET. Order of events: the hosts run until the store has dropped the records of their claims; programs spend a quarter of their budgets; a host is added and claims partitions whose owners still run, without asking them; the programs get up to 2,600 tokens of a budget of 2,000 (2,100 are allowed).

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case: `harness CASE RECORD`. Ends with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
+mod budget;
 mod client;
 mod drain;
 mod history;
@@ -108,6 +109,7 @@
     record.say(format!("case {name}, trouble {}", u8::from(is_troubled)));
     let case = Case { record: record.clone(), folder: folder.clone(), is_troubled };
     let runner: fn(&Case) -> Verdict = match name.as_str() {
+        "budget" => budget::run,
         "drain" => drain::run,
         "history" => history::run,
         "stranded" => stranded::run,
