review: turns fill the store until no turn is taken

Rule: LOST, turns that reach no server in five tries or more. Order of events: 50 turns a second with inputs of 100 kB are stored and never trimmed; at 400 MB the store answers appends with 507; no turn is stored from then on, and turns that need a record of their tokens get 503.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod client;
 mod drain;
+mod full;
 mod history;
 mod host;
 mod http;
@@ -111,6 +112,7 @@
     let runner: fn(&Case) -> Verdict = match name.as_str() {
         "budget" => budget::run,
         "drain" => drain::run,
+        "full" => full::run,
         "history" => history::run,
         "stranded" => stranded::run,
         _ => {
