--- a/review/harness/budget.rs
+++ b/review/harness/budget.rs
@@ -65,7 +65,7 @@
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::start(RETENTION);
-    let servers = Servers::new(record, |_, _| Work::Stream {
+    let servers = Servers::new(record, |_| Work::Stream {
         first: Duration::from_millis(5),
         gap: Duration::from_millis(1),
         events: TURN_TOKENS / TOKENS_PER_EVENT,
--- a/review/harness/drain.rs
+++ b/review/harness/drain.rs
@@ -51,7 +51,7 @@
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::start(Duration::from_secs(300));
-    let servers = Servers::new(record, |request, _| {
+    let servers = Servers::new(record, |request| {
         let attempt = request.headers.get("attempt-id").cloned().unwrap_or_default();
         let is_early = attempt.starts_with(EARLY_PREFIX);
         if request.path.starts_with("/plan/") {
@@ -131,7 +131,7 @@
     let runs = servers.runs();
     let mut lost = 0;
     for (attempt, is_stream, (answer, ended)) in results {
-        let was_run = runs.iter().any(|it| it.attempt == attempt);
+        let was_run = runs.contains(&attempt);
         // The excuses of the rule: the client's deadline and the route's timeout, which are the same
         // here, were not reached, and the request was sent later than 3 s after the SIGTERM.
         let timeout = if is_stream { STREAM_TIMEOUT } else { INVOICE_TIMEOUT };
--- a/review/harness/full.rs
+++ b/review/harness/full.rs
@@ -92,7 +92,7 @@
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::start(Duration::from_secs(300));
-    let servers = Servers::new(record, |request, _| {
+    let servers = Servers::new(record, |request| {
         let usage = request.headers.get("token-usage").cloned().unwrap_or_default();
         let tokens = usage.rsplit(',').next().and_then(|it| it.parse().ok()).unwrap_or(50);
         Work::Stream {
@@ -170,7 +170,7 @@
     let first_turns: Vec<_> = clients.into_iter().flat_map(|it| it.join().unwrap()).collect();
 
     let runs = servers.runs();
-    let has_run = |attempt: &String| runs.iter().any(|it| it.attempt == *attempt);
+    let has_run = |attempt: &String| runs.contains(attempt);
     let in_window: Vec<_> = first_turns.iter().filter(|it| window < it.1).collect();
     let reached = in_window.iter().filter(|it| has_run(&it.0)).count();
     let whole = in_window.iter().filter(|it| it.2).count();
--- a/review/harness/history.rs
+++ b/review/harness/history.rs
@@ -73,7 +73,7 @@
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::start(RETENTION);
-    let servers = Servers::new(record, |_, _| Work::Stream {
+    let servers = Servers::new(record, |_| Work::Stream {
         first: Duration::from_millis(20),
         gap: Duration::from_millis(5),
         events: 10,
@@ -131,7 +131,7 @@
     let others = others.map_err(|_| "the other programs' client ended")?;
 
     let runs = servers.runs();
-    let has_run = |attempt: &String| runs.iter().any(|it| it.attempt == *attempt);
+    let has_run = |attempt: &String| runs.contains(attempt);
     let count_reached = |tries: &[(String, u16)]| tries.iter().filter(|it| has_run(&it.0)).count();
     let reached = others.iter().filter(|it| count_reached(&it.1) != 0).count() as u64;
     record.say(format!("first turns of {reached} of {PROGRAMS} new programs reached a server"));
--- a/review/harness/stranded.rs
+++ b/review/harness/stranded.rs
@@ -84,7 +84,7 @@
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::start(Duration::from_secs(300));
-    let servers = Servers::new(record, |_, _| Work::Stream {
+    let servers = Servers::new(record, |_| Work::Stream {
         first: Duration::from_millis(20),
         gap: Duration::from_millis(5),
         events: TURN_TOKENS / TOKENS_PER_EVENT,
@@ -117,8 +117,7 @@
     let runs = servers.runs();
     let mut broken = 0;
     for it in &outcomes {
-        let reached =
-            it.failed.iter().filter(|(id, _)| runs.iter().any(|run| run.attempt == *id)).count();
+        let reached = it.failed.iter().filter(|(id, _)| runs.contains(id)).count();
         let holds_turn = it.tokens + TURN_LIMIT <= BUDGET;
         let is_broken = 1 <= it.turns && 5 <= it.failed.len() && reached == 0 && holds_turn;
         let statuses: Vec<u16> = it.failed.iter().map(|it| it.1).collect();
--- a/review/harness/target.rs
+++ b/review/harness/target.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of servers: they register in the store, run requests, and note what they ran.
 
 use std::{
+    collections::BTreeSet,
     net::{SocketAddr, TcpListener},
     sync::{Arc, Mutex},
     thread,
@@ -23,43 +24,30 @@
     Whole(Duration),
     /// Sends its first event after `first`, and the others with pauses of `gap`.
     Stream { first: Duration, gap: Duration, events: u64 },
-    /// Sends its first event after this time, and then bytes that are no event until the caller closes.
-    Endless(Duration),
 }
 
-/// A run of a request at a server.
-#[derive(Clone)]
-pub struct Run {
-    pub server: String,
-    pub attempt: String,
-    /// The `Last-Event-Id` of the request.
-    pub after: u64,
-    pub started: Instant,
-    /// When the work ended, by its end or as the caller closed the connection.
-    pub ended: Option<Instant>,
-}
-
-type Planner = dyn Fn(&Request, &[Run]) -> Work + Send + Sync;
+type Planner = dyn Fn(&Request) -> Work + Send + Sync;
 
 /// The servers of a deployment; clones share their notes.
 #[derive(Clone)]
 pub struct Servers {
-    runs: Arc<Mutex<Vec<Run>>>,
+    /// The attempts that were run.
+    runs: Arc<Mutex<BTreeSet<String>>>,
     record: Record,
     planner: Arc<Planner>,
 }
 
 impl Servers {
-    /// Returns a group of servers; `planner` tells how a request is handled, and sees all runs so far.
+    /// Returns a group of servers; `planner` tells how a request is handled.
     pub fn new<F>(record: &Record, planner: F) -> Servers
     where
-        F: Fn(&Request, &[Run]) -> Work + Send + Sync + 'static,
+        F: Fn(&Request) -> Work + Send + Sync + 'static,
     {
         Servers { runs: Arc::default(), record: record.clone(), planner: Arc::new(planner) }
     }
 
-    /// Returns all runs so far.
-    pub fn runs(&self) -> Vec<Run> {
+    /// Returns the attempts that were run so far.
+    pub fn runs(&self) -> BTreeSet<String> {
         self.runs.lock().unwrap().clone()
     }
 
@@ -104,18 +92,8 @@
         let header = |it: &str| request.headers.get(it).cloned().unwrap_or_default();
         let attempt = header("attempt-id");
         let after = header("last-event-id").parse().unwrap_or(0);
-        let (index, work) = {
-            let mut runs = self.runs.lock().unwrap();
-            let work = (self.planner)(request, &runs);
-            runs.push(Run {
-                server: name.to_owned(),
-                attempt: attempt.clone(),
-                after,
-                started: Instant::now(),
-                ended: None,
-            });
-            (runs.len() - 1, work)
-        };
+        let work = (self.planner)(request);
+        self.runs.lock().unwrap().insert(attempt.clone());
         let deadline = header("deadline-ms");
         self.record.line(format!(
             "run    {attempt} at {name} path {} body {} after-event {after} deadline-ms {deadline}",
@@ -123,8 +101,6 @@
             request.body.len()
         ));
         let is_done = answer(connection, &attempt, after, work);
-        let mut runs = self.runs.lock().unwrap();
-        runs[index].ended = Some(Instant::now());
         let end = if is_done { "done" } else { "the caller closed the connection" };
         self.record.line(format!("run    {attempt} at {name} ended: {end}"));
         is_done
@@ -171,19 +147,6 @@
             }
             connection.write_chunk(b"").is_ok()
         }
-        Work::Endless(first) => {
-            if !wait(connection, first)
-                || connection.begin_chunks(200, &stream_headers).is_err()
-                || connection.write_chunk(&event(after + 1)).is_err()
-            {
-                return false;
-            }
-            let chunk = vec![b'x'; 4 << 10];
-            while connection.write_chunk(&chunk).is_ok() {
-                thread::sleep(Duration::from_millis(2));
-            }
-            false
-        }
     }
 }
 
