--- a/review/harness/budget.rs
+++ b/review/harness/budget.rs
@@ -3,7 +3,6 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicBool, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -46,7 +45,7 @@
             prompt_tokens: 1_840,
             max_tokens: TURN_TOKENS,
             finish: until.saturating_duration_since(Instant::now()),
-            timeout: Duration::from_secs(4),
+            timeout: Duration::from_secs(3),
             body: b"the whole prompt of the turn",
         };
         let (_, answer) = turn.send(record, hosts);
@@ -62,41 +61,40 @@
     (tokens, false)
 }
 
+/// Runs other programs of a few turns, four at a time, for about this time.
+fn run_others(record: &Record, hosts: &[SocketAddr], prefix: &str, time: Duration) {
+    let until = Instant::now() + time;
+    run_parallel((0..4).collect(), |client: u64| {
+        for number in 0.. {
+            if until <= Instant::now() {
+                return;
+            }
+            run_program(record, hosts, &format!("{prefix}{client}{number:04x}"), 3);
+            thread::sleep(Duration::from_millis(200));
+        }
+    });
+}
+
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::start(RETENTION);
-    let servers = Servers::new(record, |_| Work::Stream {
+    let servers = Servers::new(record, |_| Work {
         first: Duration::from_millis(5),
         gap: Duration::from_millis(1),
         events: TURN_TOKENS / TOKENS_PER_EVENT,
     });
     for number in 1..=4 {
-        servers.start(&store, "llm", &format!("i-llm-{number}"), 24);
+        servers.start(&store, "llm", &format!("i-llm-{number}"), 32);
     }
-    let rest = r#""max_attempts":1,"sticky":true,"resumable":true,"gap_target_ms":400,"retain":false,"retention_s":60.0"#;
-    let routes = client::route("check", "stream", "llm", 4_000, rest);
-    let config = client::config(&routes, &client::engine("llm", 24, TOKENS_PER_EVENT));
+    let rest = r#""max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":300,"retain":false,"retention_s":60.0"#;
+    let routes = client::route("check", "stream", "llm", 3_000, rest);
+    let config = client::config(&routes, &client::engine("llm", 32, TOKENS_PER_EVENT));
     let deployment = Deployment { hosts: 3, spares: 1, retention_s: RETENTION.as_secs() };
     let mut hosts = case.start_hosts(&store, &config, deployment)?;
     let mut fronts: Vec<SocketAddr> = hosts.iter().map(|it| it.front()).collect();
 
-    // Other programs of a few turns run all the while.
     record.say("the deployment runs for longer than the store keeps records".to_owned());
-    let started = Instant::now();
-    let is_over = AtomicBool::new(false);
-    thread::scope(|scope| {
-        scope.spawn(|| {
-            for number in 0.. {
-                if is_over.load(Ordering::Relaxed) {
-                    return;
-                }
-                run_program(record, &fronts, &format!("77d2{number:04x}"), 3);
-                thread::sleep(Duration::from_millis(100));
-            }
-        });
-        thread::sleep((RETENTION + Duration::from_secs(8)).saturating_sub(started.elapsed()));
-        is_over.store(true, Ordering::Relaxed);
-    });
+    run_others(record, &fronts, "77d2", RETENTION + Duration::from_secs(8));
 
     let programs: Vec<String> = (0..PROGRAMS).map(|it| format!("3fa8{it:02x}")).collect();
     let early =
@@ -112,9 +110,9 @@
         record.say(format!("{} was added to the system", added.name));
         fronts.push(added.front());
         hosts.push(added);
-        // Longer than `contact_ms`.
-        thread::sleep(Duration::from_secs(4));
     }
+    // Longer than `contact_ms`.
+    run_others(record, &fronts, "88e3", Duration::from_secs(4));
     let late = run_parallel(programs.clone(), |it| run_program(record, &fronts, &it, MAX_TURNS));
     let mut broken = 0;
     for ((program, early), (tokens, is_spent)) in programs.iter().zip(early).zip(late) {
--- a/review/harness/drain.rs
+++ b/review/harness/drain.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Case, Verdict, client,
-    client::run_parallel,
+    client::{Turn, run_parallel},
     get,
     host::{Deployment, SIGTERM},
     http::Answer,
@@ -19,68 +19,56 @@
 
 /// `grace_period_s`.
 const GRACE: Duration = Duration::from_secs(8);
-/// The pauses between the 14 events of a stream; pauses up to 400 ms are on time.
-const GAP: Duration = Duration::from_millis(235);
-const EVENTS: u64 = 14;
-const STREAM_TIMEOUT: Duration = Duration::from_secs(4);
-/// The time that an unsafe request takes at the server, and the time that it has.
-const WORK: Duration = Duration::from_millis(3_100);
-const INVOICE_TIMEOUT: Duration = Duration::from_secs(6);
-/// When the requests are sent, after the SIGTERM.
-const SEND_TIMES_MS: [u64; 6] = [4_450, 4_480, 4_510, 4_540, 4_570, 4_600];
+/// `timeout_ms` of the route, which is the clients' deadline too.
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// The events of a stream and the pauses between them; pauses up to 300 ms are on time.
+const EVENTS: u64 = 12;
+const GAP: Duration = Duration::from_millis(260);
+/// When the turns are sent, after the SIGTERM; each takes 2.92 s at its server.
+const SEND_TIMES_MS: [u64; 8] = [4_640, 4_655, 4_670, 4_685, 4_700, 4_715, 4_730, 4_745];
 
-/// Marks the requests that are sent before the SIGTERM, which take little time.
+/// Begins the names of the programs whose turns are sent before the SIGTERM, and take little time.
 const EARLY_PREFIX: &str = "3000";
 
-/// Sends a request and returns the answer and when it ended.
-fn send(record: &Record, to: SocketAddr, attempt: &str, is_stream: bool) -> (Answer, Instant) {
-    let (path, headers, timeout) = if is_stream {
-        let headers = vec![
-            ("Token-Usage", "1460,252".to_owned()),
-            ("Prompt-Prefix", format!("5c1e07a2:1200,{attempt}:260")),
-            ("Model", "m".to_owned()),
-        ];
-        ("/plan/2f", headers, STREAM_TIMEOUT)
-    } else {
-        ("/invoice/3c", Vec::new(), INVOICE_TIMEOUT)
+/// Sends the first turn of a program, and returns its attempt id, the answer, and when that ended.
+fn send(record: &Record, to: SocketAddr, program: &str) -> (String, Answer, Instant) {
+    let turn = Turn {
+        path: "/review/2f",
+        program,
+        previous: None,
+        budget: 4_600,
+        prompt_tokens: 1_840,
+        max_tokens: 575,
+        finish: Duration::from_secs(20),
+        timeout: TIMEOUT,
+        body: b"what the editor says in this turn",
     };
-    let answer = client::post(record, to, attempt, path, headers, b"a request", timeout);
-    (answer, Instant::now())
+    let (attempt, answer) = turn.send(record, &[to]);
+    (attempt, answer, Instant::now())
 }
 
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::start(Duration::from_secs(300));
     let servers = Servers::new(record, |request| {
-        let attempt = request.headers.get("attempt-id").cloned().unwrap_or_default();
-        let is_early = attempt.starts_with(EARLY_PREFIX);
-        if request.path.starts_with("/plan/") {
-            let gap = if is_early { Duration::from_millis(20) } else { GAP };
-            Work::Stream { first: Duration::from_millis(60), gap, events: EVENTS }
-        } else {
-            Work::Whole(if is_early { Duration::from_millis(100) } else { WORK })
-        }
+        let program = request.headers.get("program-id").cloned().unwrap_or_default();
+        let is_early = program.starts_with(EARLY_PREFIX);
+        let gap = if is_early { Duration::from_millis(20) } else { GAP };
+        Work { first: Duration::from_millis(60), gap, events: EVENTS }
     });
-    for (service, name) in
-        [("llm", "i-llm-1"), ("llm", "i-llm-2"), ("app", "i-app-1"), ("app", "i-app-2")]
-    {
-        servers.start(&store, service, name, 24);
+    for number in 1..=4 {
+        servers.start(&store, "llm", &format!("i-llm-{number}"), 32);
     }
-    let rest = r#""max_attempts":1,"sticky":true,"resumable":true,"gap_target_ms":400"#;
-    let plan = client::route("plan", "stream", "llm", STREAM_TIMEOUT.as_millis() as u64, rest);
-    let invoice_ms = INVOICE_TIMEOUT.as_millis() as u64;
-    let invoice = client::route("invoice", "unsafe", "app", invoice_ms, r#""max_attempts":1"#);
-    let app = r#"{"name":"app","health_path":"/healthz","max_conns":100}"#;
-    let services = format!("{},{app}", client::engine("llm", 24, 18));
-    let config = client::config(&format!("{plan},{invoice}"), &services);
+    let rest = r#""max_attempts":2,"sticky":true,"resumable":false,"gap_target_ms":300,"retain":true,"retention_s":60.0"#;
+    let routes = client::route("review", "stream", "llm", TIMEOUT.as_millis() as u64, rest);
+    let config = client::config(&routes, &client::engine("llm", 32, 18));
     let deployment = Deployment { hosts: 3, spares: 0, retention_s: 300 };
     let mut hosts = case.start_hosts(&store, &config, deployment)?;
     let to = hosts[0].front();
     for number in 0..4 {
-        let attempt = format!("{EARLY_PREFIX}{number:012x}");
-        let (answer, _) = send(record, to, &attempt, number % 2 == 0);
+        let (_, answer, _) = send(record, to, &format!("{EARLY_PREFIX}{number:02x}"));
         if !answer.is_complete || answer.status != 200 {
-            return Err(format!("a request before the SIGTERM was not served: {}", answer.end));
+            return Err(format!("a turn before the SIGTERM was not served: {}", answer.end));
         }
     }
     // No disruption for longer than `contact_ms`.
@@ -96,20 +84,12 @@
         record.say("SIGTERM to front-1".to_owned());
         hosts[0].signal(SIGTERM);
     }
-    let requests: Vec<(String, u64, bool)> = (0..)
-        .zip(SEND_TIMES_MS)
-        .flat_map(|(number, at): (u64, u64)| {
-            let attempt = |is_stream| format!("400{}{number:012x}", u8::from(is_stream));
-            [(attempt(true), at, true), (attempt(false), at, false)]
-        })
-        .collect();
     let (results, ended) = thread::scope(|scope| {
         let clients = scope.spawn(|| {
-            run_parallel(requests, |(attempt, at, is_stream)| {
+            run_parallel((0..).zip(SEND_TIMES_MS).collect(), |(number, at): (u64, u64)| {
                 let until = term + Duration::from_millis(at);
                 thread::sleep(until.saturating_duration_since(Instant::now()));
-                let result = send(record, to, &attempt, is_stream);
-                (attempt, is_stream, result)
+                send(record, to, &format!("4000{number:02x}"))
             })
         });
         // The platform ends a process that still runs after the grace period.
@@ -130,12 +110,11 @@
     }
     let runs = servers.runs();
     let mut lost = 0;
-    for (attempt, is_stream, (answer, ended)) in results {
+    for (attempt, answer, ended) in results {
         let was_run = runs.contains(&attempt);
         // The excuses of the rule: the client's deadline and the route's timeout, which are the same
         // here, were not reached, and the request was sent later than 3 s after the SIGTERM.
-        let timeout = if is_stream { STREAM_TIMEOUT } else { INVOICE_TIMEOUT };
-        let is_in_time = ended.duration_since(answer.sent) < timeout;
+        let is_in_time = ended.duration_since(answer.sent) < TIMEOUT;
         let sent_at = answer.sent.duration_since(term);
         let is_planned = ended.duration_since(term) < GRACE + Duration::from_secs(1);
         let is_lost = was_run
@@ -144,18 +123,22 @@
             && Duration::from_secs(3) < sent_at
             && is_planned;
         record.say(format!(
-            "{attempt} ({}): sent {} ms after the SIGTERM, run by a server: {was_run}, status {}, \
-             events {}, ended at {} ms: {}{}",
-            if is_stream { "stream" } else { "unsafe" },
+            "{attempt}: sent {} ms after the SIGTERM, run by a server: {was_run}, status {}, events {} of \
+             {EVENTS}, ended at {} ms, after {} ms of {}: {}{}",
             sent_at.as_millis(),
             answer.status,
             answer.events(),
             ended.duration_since(term).as_millis(),
+            ended.duration_since(answer.sent).as_millis(),
+            TIMEOUT.as_millis(),
             answer.end,
             if is_lost { " LOST" } else { "" }
         ));
         lost += u64::from(is_lost);
     }
-    record.say(format!("{lost} requests that servers ran ended without a complete answer"));
+    record.say(format!(
+        "{lost} of {} turns that servers ran ended without a complete answer",
+        SEND_TIMES_MS.len()
+    ));
     Ok(lost != 0)
 }
--- a/review/harness/full.rs
+++ b/review/harness/full.rs
@@ -46,7 +46,7 @@
     finish: Duration,
     body: &'a [u8],
 ) -> Turn<'a> {
-    let timeout = Duration::from_secs(4);
+    let timeout = Duration::from_secs(3);
     let prompt_tokens = body.len() / 4;
     let path = "/review/4b";
     Turn {
@@ -95,7 +95,7 @@
     let servers = Servers::new(record, |request| {
         let usage = request.headers.get("token-usage").cloned().unwrap_or_default();
         let tokens = usage.rsplit(',').next().and_then(|it| it.parse().ok()).unwrap_or(50);
-        Work::Stream {
+        Work {
             first: Duration::from_millis(20),
             gap: Duration::from_millis(2),
             events: tokens / TOKENS_PER_EVENT,
@@ -105,7 +105,7 @@
         servers.start(&store, "llm", &format!("i-llm-{number}"), 32);
     }
     let rest = r#""max_attempts":2,"sticky":true,"resumable":false,"gap_target_ms":300,"retain":true,"retention_s":60.0"#;
-    let routes = client::route("review", "stream", "llm", 4_000, rest);
+    let routes = client::route("review", "stream", "llm", 3_000, rest);
     let config = client::config(&routes, &client::engine("llm", 32, TOKENS_PER_EVENT));
     let deployment = Deployment { hosts: 8, spares: 0, retention_s: 300 };
     let hosts = case.start_hosts(&store, &config, deployment)?;
--- a/review/harness/history.rs
+++ b/review/harness/history.rs
@@ -73,7 +73,7 @@
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::start(RETENTION);
-    let servers = Servers::new(record, |_| Work::Stream {
+    let servers = Servers::new(record, |_| Work {
         first: Duration::from_millis(20),
         gap: Duration::from_millis(5),
         events: 10,
--- a/review/harness/host.rs
+++ b/review/harness/host.rs
@@ -82,7 +82,7 @@
             ("node|json", format!("\"{name}\"")),
             ("zone|json", "\"zone-a\"".to_owned()),
             ("seed_addrs|json", format!("[{}]", seeds.join(","))),
-            ("limits.cpu_share", "0.5".to_owned()),
+            ("limits.cpu_share", "0.25".to_owned()),
             ("listen_addrs.front_addr|json", format!("\"{ip}:{FRONT_PORT}\"")),
             ("listen_addrs.ready_addr|json", format!("\"{ip}:{READY_PORT}\"")),
             ("listen_addrs.directory_addr|json", format!("\"{ip}:{DIRECTORY_PORT}\"")),
--- a/review/harness/stranded.rs
+++ b/review/harness/stranded.rs
@@ -84,7 +84,7 @@
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::start(Duration::from_secs(300));
-    let servers = Servers::new(record, |_| Work::Stream {
+    let servers = Servers::new(record, |_| Work {
         first: Duration::from_millis(20),
         gap: Duration::from_millis(5),
         events: TURN_TOKENS / TOKENS_PER_EVENT,
--- a/review/harness/target.rs
+++ b/review/harness/target.rs
@@ -17,13 +17,13 @@
 /// The time between two reports of a server to the store, `heartbeat_ms`.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
-/// How a server handles a request.
+/// How a server handles a request: it sends its first event after `first`, and the others with pauses of
+/// `gap`.
 #[derive(Clone, Copy)]
-pub enum Work {
-    /// Works for this long, and answers with a whole body.
-    Whole(Duration),
-    /// Sends its first event after `first`, and the others with pauses of `gap`.
-    Stream { first: Duration, gap: Duration, events: u64 },
+pub struct Work {
+    pub first: Duration,
+    pub gap: Duration,
+    pub events: u64,
 }
 
 type Planner = dyn Fn(&Request) -> Work + Send + Sync;
@@ -124,30 +124,25 @@
 
 /// Works on a request and answers it; returns false if the caller closes the connection first.
 fn answer(connection: &mut Connection, attempt: &str, after: u64, work: Work) -> bool {
-    let common = [("Attempt-Id", attempt), ("Response-Seal", "seal")];
-    let stream_headers =
-        [common[0], common[1], ("Content-Type", "text/event-stream"), ("Weight-Versions", "1")];
+    let headers = [
+        ("Attempt-Id", attempt),
+        ("Response-Seal", "seal"),
+        ("Content-Type", "text/event-stream"),
+        ("Weight-Versions", "1"),
+    ];
     let event = |number: u64| format!("id: {number}\ndata: {attempt}-{number}\n\n").into_bytes();
-    match work {
-        Work::Whole(time) => {
-            let body = format!("answer to {attempt}");
-            wait(connection, time) && connection.respond(200, &common, body.as_bytes()).is_ok()
+    if !wait(connection, work.first) || connection.begin_chunks(200, &headers).is_err() {
+        return false;
+    }
+    for number in after + 1..=work.events {
+        if number != after + 1 && !wait(connection, work.gap) {
+            return false;
         }
-        Work::Stream { first, gap, events } => {
-            if !wait(connection, first) || connection.begin_chunks(200, &stream_headers).is_err() {
-                return false;
-            }
-            for number in after + 1..=events {
-                if number != after + 1 && !wait(connection, gap) {
-                    return false;
-                }
-                if connection.write_chunk(&event(number)).is_err() {
-                    return false;
-                }
-            }
-            connection.write_chunk(b"").is_ok()
+        if connection.write_chunk(&event(number)).is_err() {
+            return false;
         }
     }
+    connection.write_chunk(b"").is_ok()
 }
 
 /// Writes a server's entry to the store, again and again.
