Logs: what a host that stops cuts off, from the first byte of a request to the last of its answer

The logs could not tell calls that outlast the host (hypothesis 1) from requests that are still arriving and answers that are not yet sent (hypothesis 2): only calls between the two were counted, and none was named. The caller's socket now reports the stage of the exchange on it, and the host logs its connections as it begins to close, and each exchange that it cuts off. When the host ends is as before.

--- /dev/null
+++ b/crates/rosethread_entry/src/connections.rs
@@ -0,0 +1,131 @@
+//! Follows callers' connections, so that a host that stops knows what it still owes on them.
+//!
+//! A request is owed an answer from its first byte to the last byte of the answer. The calls that the
+//! entry serves are only the middle part of that time: before it the request is still arriving, and
+//! after it the answer waits for a slow caller or link. See `docs/design/draining.md`.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use rosethread_types::RequestId;
+use tokio::time::Instant;
+
+/// How far the exchange of a request and its answer on a connection has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ExchangeStage {
+    /// No request has begun since the last answer.
+    #[default]
+    Idle,
+    /// Bytes of a request have arrived, but not the whole of its head and body.
+    Receiving,
+    /// The request has been read, and its answer is not complete.
+    Serving,
+    /// The answer is complete, but not all of its bytes have been sent.
+    Sending,
+    /// All bytes have been sent, and the connection waits for the caller to close it.
+    Closing,
+}
+
+/// An exchange as it stood at one moment, for logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ExchangeState {
+    pub(crate) stage: ExchangeStage,
+    /// The time in this stage.
+    pub(crate) age: Duration,
+    /// The caller's identifier for the attempt, once the head has been read.
+    pub(crate) request: Option<RequestId>,
+}
+
+#[derive(Debug)]
+struct Exchange {
+    stage: ExchangeStage,
+    /// When the stage began.
+    since: Instant,
+    request: Option<RequestId>,
+}
+
+/// One connection of a caller; it counts as open until this is dropped.
+#[derive(Debug)]
+pub struct CallerConnection {
+    key: u64,
+    exchange: Arc<Mutex<Exchange>>,
+    open: Connections,
+}
+
+impl CallerConnection {
+    fn lock(&self) -> MutexGuard<'_, Exchange> {
+        lock(&self.exchange)
+    }
+
+    /// Returns the current stage.
+    pub fn stage(&self) -> ExchangeStage {
+        self.lock().stage
+    }
+
+    /// Records that the exchange has come to `stage`.
+    pub fn set_stage(&self, stage: ExchangeStage) {
+        let mut exchange = self.lock();
+        if exchange.stage != stage {
+            exchange.stage = stage;
+            exchange.since = Instant::now();
+        }
+        if stage == ExchangeStage::Idle {
+            exchange.request = None;
+        }
+    }
+
+    /// Records the identifier of the request, which is in its head.
+    pub fn set_request(&self, request: Option<RequestId>) {
+        self.lock().request = request;
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        lock(&self.open.exchanges).remove(&self.key);
+    }
+}
+
+/// The open connections of callers; clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Connections {
+    exchanges: Arc<Mutex<BTreeMap<u64, Arc<Mutex<Exchange>>>>>,
+    next_key: Arc<AtomicU64>,
+}
+
+impl Connections {
+    /// Adds a connection that a caller has just opened.
+    pub(crate) fn open(&self) -> CallerConnection {
+        let key = self.next_key.fetch_add(1, Ordering::Relaxed);
+        let exchange =
+            Exchange { stage: ExchangeStage::Idle, since: Instant::now(), request: None };
+        let exchange = Arc::new(Mutex::new(exchange));
+        lock(&self.exchanges).insert(key, exchange.clone());
+        CallerConnection { key, exchange, open: self.clone() }
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn count(&self) -> usize {
+        lock(&self.exchanges).len()
+    }
+
+    /// Returns the exchanges that have begun and not ended.
+    pub(crate) fn unfinished(&self) -> Vec<ExchangeState> {
+        let exchanges: Vec<_> = lock(&self.exchanges).values().cloned().collect();
+        let states = exchanges.iter().map(|it| {
+            let Exchange { stage, since, request } = &*lock(it);
+            ExchangeState { stage: *stage, age: since.elapsed(), request: request.clone() }
+        });
+        states.filter(|it| it.stage != ExchangeStage::Idle).collect()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of a lock on connections panics")
+}
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     call::Call,
+    connections::{CallerConnection, Connections},
     fingerprint::Fingerprint,
     history::TurnCache,
     limits::{Sharers, TargetLimits},
@@ -150,6 +151,8 @@
     remote_loads: Mutex<RemoteLoads>,
     pub(crate) shards: Shards,
     pub(crate) turns: TurnCache,
+    /// The open connections of callers.
+    pub(crate) connections: Connections,
     /// Number of calls in progress at this host.
     pub(crate) active_calls: AtomicU32,
     /// Memory for the large ones of the responses that are being buffered.
@@ -182,6 +185,7 @@
             remote_loads: Mutex::default(),
             shards: Shards::default(),
             turns: TurnCache::default(),
+            connections: Connections::default(),
             active_calls: AtomicU32::new(0),
             response_memory: MemoryPool::new(RESPONSE_MEMORY_BYTES),
             reloadable: watch::Sender::new(Arc::new(dependencies.settings.reloadable())),
@@ -393,6 +397,11 @@
         self.upstream.close_idle_connections(target);
     }
 
+    /// Adds a connection that a caller has just opened.
+    pub fn open_connection(&self) -> CallerConnection {
+        self.connections.open()
+    }
+
     /// Counts a call as in progress until the returned guard is dropped.
     pub(crate) fn count_call(self: &Arc<Entry>) -> CallGuard {
         self.active_calls.fetch_add(1, Ordering::Relaxed);
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod call;
 mod choose;
+mod connections;
 mod control;
 mod directory;
 mod ended_grants;
@@ -43,6 +44,7 @@
 mod turns;
 
 pub use call::{Call, CallResponse, ProgramContext, PromptSize, ResponseBody};
+pub use connections::{CallerConnection, ExchangeStage};
 pub use directory::{DirectoryResponse, list_hosts};
 pub use ended_grants::EndedGrants;
 pub use entry::{Entry, EntryDependencies, Phase};
--- a/crates/rosethread_entry/src/life.rs
+++ b/crates/rosethread_entry/src/life.rs
@@ -27,6 +27,9 @@
 /// The period of the polls for calls in progress.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
+/// Limit on the log lines for exchanges that are cut off at a stop.
+const MAX_LOGGED_EXCHANGES: usize = 200;
+
 /// State of an [`EntryNode`] that accepts calls.
 #[derive(Clone, Copy, Debug)]
 pub struct Serving;
@@ -89,6 +92,9 @@
         let grace = Duration::from_secs_f64(entry.reloadable().bounds.grace_s);
         tokio::time::sleep_until(self.drain_start + grace.mul_f64(ANSWERING_FRACTION)).await;
         entry.phase.send_replace(Phase::Closing);
+        let (connections, unfinished) = (entry.connections.count(), entry.connections.unfinished());
+        info!(entry.logger, "entry: closing"; "connections" => connections,
+            "unfinished" => unfinished.len(), "calls" => entry.active_calls.load(Ordering::Relaxed));
         let cutoff = self.drain_start + grace.mul_f64(CUTOFF_FRACTION);
         let mut idle_polls = 0;
         while idle_polls < IDLE_POLLS && Instant::now() < cutoff {
@@ -97,8 +103,7 @@
                 if entry.active_calls.load(Ordering::Relaxed) == 0 { idle_polls + 1 } else { 0 };
         }
         entry.phase.send_replace(Phase::Stopped);
-        let calls = entry.active_calls.load(Ordering::Relaxed);
-        info!(entry.logger, "entry: stopped"; "calls_cut" => calls);
+        log_stop(entry, self.drain_start);
         EntryNode {
             entry: self.entry,
             members: self.members,
@@ -114,3 +119,17 @@
         self.entry.clone()
     }
 }
+
+/// Logs what the host ends: each exchange that has begun and not ended, and their number.
+fn log_stop(entry: &Entry, drain_start: Instant) {
+    let unfinished = entry.connections.unfinished();
+    for it in unfinished.iter().take(MAX_LOGGED_EXCHANGES) {
+        let id = it.request.as_ref().map_or("", |it| it.as_str());
+        warn!(entry.logger, "entry: an exchange is cut off"; "id" => id, "stage" => ?it.stage,
+            "stage_ms" => it.age.as_millis() as u64);
+    }
+    info!(entry.logger, "entry: stopped"; "exchanges_cut" => unfinished.len(),
+        "calls_cut" => entry.active_calls.load(Ordering::Relaxed),
+        "connections" => entry.connections.count(),
+        "drain_ms" => drain_start.elapsed().as_millis() as u64);
+}
