Refuse calls that a draining host may not live to answer, as not run

What callers saw: connections closed without a whole answer around the SIGTERM of a host, to requests that a target had run; in the record only those of the route with the longest timeout. Cause (hypothesis 1): a host took calls for 0.6 of its grace period and cut them off at 0.93 of it, without asking how long they may take: with 8 s and a timeout of 6 s each call taken from 1.44 s on, though the rule excuses only calls sent in the first 3 s. Class: work is accepted without asking whether the one who accepts it lives to finish it. Now a host that drains knows when it ends. A call whose deadline lies beyond is refused at its arrival as not run, with a Retry-After of 20 ms, as the directory names other hosts; what fits is served. The end follows from the time that the process needs to end (0.4 s) rather than from a fraction of the grace period: 7.6 s of 8 s, for 7.44 s.

--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -33,6 +33,9 @@
 /// Retry delay sent to callers when another host can probably serve them at once.
 const OTHER_HOST_RETRY: Duration = Duration::from_millis(20);
 
+/// The time after the deadline of a call within which its answer has been sent.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Retry delay sent to callers of new programs while running programs use the slots.
 const OVERLOAD_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -94,6 +97,7 @@
         };
         let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let deadline = call.arrived + timeout;
+        refuse_beyond_end(entry, deadline)?;
         refuse_during_outage(entry, &call, &route, timeout)?;
         let allowed = origins::find_allowed(entry, &call, &service).await?;
         let shard = call.program.as_ref().map_or(0, |it| shard_of(entry, &it.program));
@@ -191,6 +195,23 @@
     }
 }
 
+/// Refuses a call whose deadline lies beyond the end of this host, which is shutting down. It might be
+/// cut off, and a caller whose call may not run twice would never know whether it did.
+fn refuse_beyond_end(entry: &Entry, deadline: Instant) -> Result<(), Refusal> {
+    let Some(cutoff) = entry.cutoff().filter(|it| *it < deadline + ANSWER_TIME) else {
+        return Ok(());
+    };
+    let now = Instant::now();
+    let (left, needed) =
+        (cutoff.saturating_duration_since(now), deadline.saturating_duration_since(now));
+    let detail = format!(
+        "this host stops in {} ms, and the call may take {} ms",
+        left.as_millis(),
+        needed.as_millis()
+    );
+    Err(Refusal::not_run(Reason::Leaving, detail).retry_after(OTHER_HOST_RETRY))
+}
+
 /// Refuses a new program with stored turns if an outage of the log is expected to outlast it.
 ///
 /// The end of a stored turn is held back until the turn is in the log. How long an outage will last
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
@@ -132,6 +132,8 @@
     /// The cluster's nodes, this one included, as the membership protocol sees them.
     pub(crate) view: watch::Sender<Arc<ClusterView>>,
     pub(crate) phase: watch::Sender<Phase>,
+    /// When this host ends the calls that are still in progress; set once it is shutting down.
+    cutoff: OnceLock<Instant>,
     pub(crate) loads: LoadTracker,
     /// The request rates that targets in need have named.
     pub(crate) limits: TargetLimits,
@@ -174,6 +176,7 @@
             store_regained: Notify::new(),
             view: watch::Sender::new(Arc::default()),
             phase: watch::Sender::new(Phase::Serving),
+            cutoff: OnceLock::new(),
             loads: LoadTracker::default(),
             limits: TargetLimits::default(),
             origins: Origins::default(),
@@ -251,6 +254,18 @@
         *self.phase.borrow()
     }
 
+    /// Starts the shutdown, in which all calls end by `cutoff`.
+    pub(crate) fn begin_drain(&self, cutoff: Instant) {
+        // Before the phase, so that a call which finds the host draining also knows how long it may take.
+        self.cutoff.get_or_init(|| cutoff);
+        self.phase.send_replace(Phase::Draining);
+    }
+
+    /// Returns when this host ends the calls in progress, if it is shutting down.
+    pub(crate) fn cutoff(&self) -> Option<Instant> {
+        self.cutoff.get().copied()
+    }
+
     /// Waits until the entry accepts no new connections.
     pub async fn wait_for_closing(&self) {
         // The entry owns the sender, so the wait cannot fail while `self` is borrowed.
--- a/crates/rosethread_entry/src/life.rs
+++ b/crates/rosethread_entry/src/life.rs
@@ -16,8 +16,9 @@
 /// The fraction of the grace period during which new calls are still answered.
 const ANSWERING_FRACTION: f64 = 0.6;
 
-/// The fraction of the grace period after which the calls still in progress are cut off.
-const CUTOFF_FRACTION: f64 = 0.93;
+/// The end of the grace period that is left for the process to end in: to send its last answers and
+/// reports, and to close its connections. A slow host takes a part of it.
+const EXIT_TIME: Duration = Duration::from_millis(400);
 
 /// The number of successive polls that must find no call in progress before the entry stops.
 ///
@@ -68,7 +69,7 @@
     pub async fn drain(self) -> EntryNode<Draining> {
         let entry = &self.entry;
         let drain_start = Instant::now();
-        entry.phase.send_replace(Phase::Draining);
+        entry.begin_drain(drain_start + cutoff_time(entry));
         let calls = entry.active_calls.load(Ordering::Relaxed);
         info!(entry.logger, "entry: draining"; "calls" => calls);
         if self.members.tell(Leave).await.is_err() {
@@ -89,13 +90,12 @@
     /// Keeps answering calls for part of the grace period, then waits for the last ones to end.
     pub async fn finish(self) -> EntryNode<Stopped> {
         let entry = &self.entry;
-        let grace = Duration::from_secs_f64(entry.reloadable().bounds.grace_s);
-        tokio::time::sleep_until(self.drain_start + grace.mul_f64(ANSWERING_FRACTION)).await;
+        tokio::time::sleep_until(self.drain_start + grace(entry).mul_f64(ANSWERING_FRACTION)).await;
         entry.phase.send_replace(Phase::Closing);
         let (connections, unfinished) = (entry.connections.count(), entry.connections.unfinished());
         info!(entry.logger, "entry: closing"; "connections" => connections,
             "unfinished" => unfinished.len(), "calls" => entry.active_calls.load(Ordering::Relaxed));
-        let cutoff = self.drain_start + grace.mul_f64(CUTOFF_FRACTION);
+        let cutoff = entry.cutoff().unwrap_or(self.drain_start);
         let mut idle_polls = 0;
         while idle_polls < IDLE_POLLS && Instant::now() < cutoff {
             sleep(POLL_PERIOD).await;
@@ -120,6 +120,17 @@
     }
 }
 
+/// Returns the time from the signal to stop within which the process has to end.
+fn grace(entry: &Entry) -> Duration {
+    Duration::from_secs_f64(entry.reloadable().bounds.grace_s)
+}
+
+/// Returns the time from the signal to stop after which the calls still in progress are ended.
+fn cutoff_time(entry: &Entry) -> Duration {
+    let grace = grace(entry);
+    grace.saturating_sub(EXIT_TIME).max(grace / 2)
+}
+
 /// Logs what the host ends: each exchange that has begun and not ended, and their number.
 fn log_stop(entry: &Entry, drain_start: Instant) {
     let unfinished = entry.connections.unfinished();
