A host that stops waits for requests that arrive and answers that are not sent yet

What callers saw: a connection that closes on a request whose body is still being sent, or in the middle of an answer that a target had completed, from 4.96 s after the SIGTERM of a host with nothing else to do. Cause (hypothesis 2): a host counted what is under way from a body that was read whole to an answer that was handed to the HTTP server, and ended 160 ms after that count was zero. Class: an owner's count of its obligations ends before the obligations do. Now the connections count, each until it is closed: idle ones close as the host begins to close, so that an open one has an exchange on it. The polls that bridged gaps in the old count are gone. Tests: a_body_that_arrives_slowly_at_a_draining_host_is_answered and an_answer_to_a_slow_reader_is_sent_whole_before_a_draining_host_ends failed before (3 of 3 runs each; 2,807,688 of 3,145,728 bytes arrived in one of them); a_draining_host_ends_although_callers_keep_connections passed before too, and guards the other side.

--- a/crates/rosethread_entry/src/life.rs
+++ b/crates/rosethread_entry/src/life.rs
@@ -20,12 +20,7 @@
 /// reports, and to close its connections. A slow host takes a part of it.
 const EXIT_TIME: Duration = Duration::from_millis(400);
 
-/// The number of successive polls that must find no call in progress before the entry stops.
-///
-/// A single poll can miss a call that is still being read from its socket.
-const IDLE_POLLS: u32 = 8;
-
-/// The period of the polls for calls in progress.
+/// The period of the polls for open connections and calls in progress.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
 /// Limit on the log lines for exchanges that are cut off at a stop.
@@ -87,7 +82,7 @@
 }
 
 impl EntryNode<Draining> {
-    /// Keeps answering calls for part of the grace period, then waits for the last ones to end.
+    /// Keeps answering calls for part of the grace period, then waits for the last answers to be sent.
     pub async fn finish(self) -> EntryNode<Stopped> {
         let entry = &self.entry;
         tokio::time::sleep_until(self.drain_start + grace(entry).mul_f64(ANSWERING_FRACTION)).await;
@@ -96,11 +91,8 @@
         info!(entry.logger, "entry: closing"; "connections" => connections,
             "unfinished" => unfinished.len(), "calls" => entry.active_calls.load(Ordering::Relaxed));
         let cutoff = entry.cutoff().unwrap_or(self.drain_start);
-        let mut idle_polls = 0;
-        while idle_polls < IDLE_POLLS && Instant::now() < cutoff {
+        while is_busy(entry) && Instant::now() < cutoff {
             sleep(POLL_PERIOD).await;
-            idle_polls =
-                if entry.active_calls.load(Ordering::Relaxed) == 0 { idle_polls + 1 } else { 0 };
         }
         entry.phase.send_replace(Phase::Stopped);
         log_stop(entry, self.drain_start);
@@ -120,6 +112,12 @@
     }
 }
 
+/// Returns whether callers or other hosts still wait for something. Idle connections close with
+/// [`Phase::Closing`], so that a connection that is still open then has an exchange on it.
+fn is_busy(entry: &Entry) -> bool {
+    entry.connections.count() != 0 || entry.active_calls.load(Ordering::Relaxed) != 0
+}
+
 /// Returns the time from the signal to stop within which the process has to end.
 fn grace(entry: &Entry) -> Duration {
     Duration::from_secs_f64(entry.reloadable().bounds.grace_s)
