Wait for the caller to close a connection that ends with an answer

What callers saw: an answer cut at any length, and the connection reset, where bytes had arrived behind the request (a body that is refused early, the next request). Class: an answer counts as sent once it is written.

--- a/crates/rosethread_entry/src/connections.rs
+++ b/crates/rosethread_entry/src/connections.rs
@@ -28,7 +28,9 @@
     Serving,
     /// The answer is complete, but not all of its bytes have been sent.
     Sending,
-    /// All bytes have been sent, and the connection waits for the caller to close it.
+    /// All bytes of the answer have been written to the socket.
+    Sent,
+    /// The connection ends with its last answer, and waits for the caller to close it.
     Closing,
 }
 
