Answer the calls that are under way when a host has to end

A call that outlasts its host, taken before the SIGTERM, had its connection closed; its caller could not tell the end of the host from a failure of the network. It now gets 502 (leaving) as the host ends, or the interruption of its stream, and the log names it.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -118,7 +118,12 @@
     pub async fn serve(self: &Arc<Entry>, call: Call) -> Result<CallResponse, Refusal> {
         let _guard = self.count_call();
         let mut log_guard = CallLogGuard::new(self, &call);
-        let result = run_call(self, call).await;
+        let is_repeatable = log_guard.is_repeatable;
+        let result = tokio::select! {
+            biased;
+            result = run_call(self, call) => result,
+            () = self.wait_for_cutoff() => Err(cutoff_refusal(is_repeatable)),
+        };
         log_guard.is_finished = true;
         if let Err(refusal) = &result {
             log_guard.log_refusal(refusal);
@@ -138,19 +143,22 @@
     previous: Option<RequestId>,
     route: Arc<str>,
     arrived: Instant,
+    is_repeatable: bool,
     is_finished: bool,
 }
 
 impl CallLogGuard {
     fn new(entry: &Arc<Entry>, call: &Call) -> CallLogGuard {
         let path = call.path.split('?').next().unwrap_or_default();
-        let route = entry.routes().find(&call.host, path).map(|it| it.name.clone());
+        let routes = entry.routes();
+        let route = routes.find(&call.host, path);
         CallLogGuard {
             entry: entry.clone(),
             id: call.id.clone(),
             program: call.program.as_ref().map(|it| it.program.clone()),
             previous: call.previous.clone(),
-            route: route.unwrap_or_default(),
+            route: route.map(|it| it.name.clone()).unwrap_or_default(),
+            is_repeatable: route.is_some_and(|it| it.is_repeatable()),
             arrived: call.arrived,
             is_finished: false,
         }
@@ -262,6 +270,11 @@
     }
 }
 
+/// Builds the refusal of a call that is in progress when this host has to end.
+pub(crate) fn cutoff_refusal(is_repeatable: bool) -> Refusal {
+    uncertain_refusal(is_repeatable, Reason::Leaving, "this host stops".to_owned())
+}
+
 /// Builds the refusal of a call that may have run: `failed` if it is safe to run again, `unknown`
 /// otherwise.
 pub(crate) fn uncertain_refusal(is_repeatable: bool, reason: Reason, detail: String) -> Refusal {
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -89,7 +89,7 @@
     Draining,
     /// The entry accepts no new connections or calls, and completes the calls in progress.
     Closing,
-    /// The entry has stopped.
+    /// The entry has ended the calls that were still in progress, and only sends their answers.
     Stopped,
 }
 
@@ -272,6 +272,12 @@
         let _ = self.phase.subscribe().wait_for(|it| Phase::Closing <= *it).await;
     }
 
+    /// Waits until the entry ends the calls that are still in progress.
+    pub(crate) async fn wait_for_cutoff(&self) {
+        // The entry owns the sender, so the wait cannot fail while `self` is borrowed.
+        let _ = self.phase.subscribe().wait_for(|it| Phase::Stopped <= *it).await;
+    }
+
     /// Returns whether callers should use this host: it serves, has routes and is not isolated.
     pub fn is_ready(&self) -> bool {
         self.phase() == Phase::Serving
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     call::{
-        Attempts, CallResponse, Dispatched, PreparedCall, ResponseBody, dispatch, uncertain_refusal,
+        Attempts, CallResponse, Dispatched, PreparedCall, ResponseBody, cutoff_refusal, dispatch,
+        uncertain_refusal,
     },
     events::{Event, EventBuffer},
     history,
@@ -102,7 +103,12 @@
         sender: mpsc::Sender<Result<Bytes, StreamInterrupted>>,
     ) {
         let _guard = self.prepared.entry.count_call();
-        let outcome = self.forward_events(first_event, &sender).await;
+        let entry = self.prepared.entry.clone();
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.forward_events(first_event, &sender) => outcome,
+            () = entry.wait_for_cutoff() => Err(cutoff_refusal(self.prepared.route.is_repeatable())),
+        };
         let outcome = match outcome {
             Ok(outcome) => outcome,
             Err(refusal) => {
