Hand all shards over at once when a host drains

What callers would see: a host that is killed at the end of its grace period with calls under way, as it is still handing over its shards one after the other: each may wait 0.4 s for a store that hangs, or 0.9 s for a peer, so that 12 of them take longer than 8 s, and nothing bounds their number. Cause: the order of the drain took the time of the hand-over for granted. All shards are now handed over at the same time. Test: a_host_ends_in_time_though_the_store_hangs failed before, 3 of 3 runs (1.30 to 1.32 s with a grace period of 1 s and 3 shards).

--- a/crates/rosethread_entry/src/life.rs
+++ b/crates/rosethread_entry/src/life.rs
@@ -2,6 +2,7 @@
 
 use std::{marker::PhantomData, sync::Arc, sync::atomic::Ordering, time::Duration};
 
+use futures::future::join_all;
 use kameo::actor::ActorRef;
 use rosethread_runtime::{Leave, MembershipActor};
 use slog::{info, warn};
@@ -70,13 +71,9 @@
         if self.members.tell(Leave).await.is_err() {
             warn!(entry.logger, "entry: membership stopped before the drain");
         }
-        for (index, _) in entry.shards.all() {
-            if entry.is_log_reachable() {
-                shards::release(entry, index).await;
-            } else {
-                shards::transfer_without_log(entry, index).await;
-            }
-        }
+        // All at once, as each may wait for the store or a peer, and the grace period does not.
+        let shards = entry.shards.all().into_iter().map(|(index, _)| hand_over(entry, index));
+        join_all(shards).await;
         EntryNode { entry: self.entry, members: self.members, drain_start, state: PhantomData }
     }
 }
@@ -112,6 +109,15 @@
     }
 }
 
+/// Releases a shard, or transfers it to another host if the log cannot say that it is free.
+async fn hand_over(entry: &Arc<Entry>, index: u32) {
+    if entry.is_log_reachable() {
+        shards::release(entry, index).await;
+    } else {
+        shards::transfer_without_log(entry, index).await;
+    }
+}
+
 /// Returns whether callers or other hosts still wait for something. Idle connections close with
 /// [`Phase::Closing`], so that a connection that is still open then has an exchange on it.
 fn is_busy(entry: &Entry) -> bool {
