Close a stream's connection before another target takes the stream up

Cause: `Relay::fail_over` kept the first response until the next target had responded. Where the connection of the first had not ended by itself (an event beyond the size limit), that target worked on meanwhile. The other resends, in `dispatch` and `run_call`, drop the response first.

--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use displaydoc::Display;
-use futures::Stream;
+use futures::{Stream, StreamExt};
 use http::HeaderMap;
 use rosethread_platform::SharedLogError;
 use rosethread_types::{RequestId, Revision, ServiceName, TargetName};
@@ -127,6 +127,13 @@
     pub body: BodyStream,
 }
 
+impl TargetResponse {
+    /// Drops the rest of the body, which cancels the request at the target.
+    pub fn cancel(&mut self) {
+        self.body = futures::stream::empty().boxed();
+    }
+}
+
 /// The result of a send, and what the target said of itself on that occasion.
 pub struct SendReply {
     /// The target's response, or why it gave no usable one.
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -215,6 +215,8 @@
         self.dispatched.in_flight.record_failure(self.prepared.entry.now());
         let target = self.dispatched.target.name.clone();
         let output_time = self.dispatched.in_flight.output_time();
+        // Otherwise the target works on while the next one takes the stream up.
+        self.dispatched.response.cancel();
         self.attempts.retry_or_refuse(&self.prepared, target, output_time, detail)?;
         let dispatched =
             dispatch(&self.prepared, &mut self.attempts, self.last_id, &self.allowed).await?;
