Limit idle connections, heads and bodies each by its own time, as it is in force

What callers saw: a kept connection that closes within the idle time in force, as it lives by the limits of its beginning; a head cut off, as the idle time before it counts; 408 for a body that keeps arriving; a head that stalls held for the idle time. Cause: hyper has one timer from the end of an answer to the end of the next head, and read_body took the idle time for the whole body. Class: one clock for several obligations, read once. The caller's socket knows the stage of the exchange, and waits for a request by idle_time and for its head by header_time; a limit that becomes longer meanwhile counts, a shorter one does not, as the caller may not know of it. The parts of a body arrive each within the idle time, all within the caller's deadline: later it has no use for an answer.

--- a/crates/rosethread_entry/src/connections.rs
+++ b/crates/rosethread_entry/src/connections.rs
@@ -22,8 +22,10 @@
     /// No request has begun since the last answer.
     #[default]
     Idle,
-    /// Bytes of a request have arrived, but not the whole of its head and body.
-    Receiving,
+    /// Bytes of a request have arrived, but not the whole of its head.
+    ReadingHead,
+    /// The head of a request has arrived, but not the whole of its body.
+    ReadingBody,
     /// The request has been read, and its answer is not complete.
     Serving,
     /// The answer is complete, but not all of its bytes have been sent.
@@ -70,6 +72,11 @@
         self.lock().stage
     }
 
+    /// Returns when the current stage began.
+    pub fn stage_began(&self) -> Instant {
+        self.lock().since
+    }
+
     /// Records that the exchange has come to `stage`.
     pub fn set_stage(&self, stage: ExchangeStage) {
         let mut exchange = self.lock();
