turns: a turn that is its own ancestor has no transcript (LOST)

What callers saw: a caller that sends a turn again under the same attempt ID and names that ID as the turn before ends the host, and each host that looks the turn up afterwards, since the record is in the log: the host follows the chain without end and takes all memory.

Cause: a chain was taken for a tree. The IDs are the callers', and a turn that is stored again replaces the one with its ID. Class: a record of the log is trusted to have a shape that nothing checks.

A path longer than the number of turns has a cycle, and no transcript: the turn is refused like one with a missing ancestor.

--- a/crates/rosethread_entry/src/turns.rs
+++ b/crates/rosethread_entry/src/turns.rs
@@ -51,7 +51,8 @@
 
     /// Returns the inputs and outputs from the first turn of the conversation to `id`, in order.
     ///
-    /// Returns `None` if `id` or any of its ancestors is missing. All turns on the path are marked
+    /// Returns `None` if `id` or any of its ancestors is missing, or if a turn is its own ancestor: the
+    /// IDs are the callers', and one may be used again. All turns on the path are marked
     /// as used at `now`, so that a conversation that goes on does not expire.
     pub fn transcript(&mut self, id: &RequestId, now: Duration) -> Option<Bytes> {
         let mut path = Vec::new();
@@ -61,6 +62,9 @@
             *last_used = now;
             next = turn.previous.clone();
             path.push(id);
+            if self.turns.len() < path.len() {
+                return None;
+            }
         }
         let mut text = BytesMut::new();
         for id in path.iter().rev() {
--- a/crates/rosethread_entry/tests/chains.rs
+++ b/crates/rosethread_entry/tests/chains.rs
@@ -112,3 +112,14 @@
     assert_eq!(turns.lookup(&"b".parse().unwrap(), Duration::ZERO), TurnLookup::Incomplete);
     assert_eq!(turns.lookup(&"a".parse().unwrap(), Duration::ZERO), TurnLookup::NotFound);
 }
+
+// Guards against a lookup without end, which takes all memory, where a turn continues itself (LOST).
+#[test]
+fn a_turn_that_is_its_own_ancestor_has_no_transcript() {
+    for previous in ["a", "c"] {
+        let mut tree = tree();
+        tree.insert(turn("a", Some(previous), "A", "a\n"), Duration::ZERO);
+        assert_eq!(tree.transcript(&"c".parse().unwrap(), Duration::ZERO), None);
+        assert_eq!(tree.transcript(&"a".parse().unwrap(), Duration::ZERO), None);
+    }
+}
