turns: the largest index of a fragment does not overflow

Cause: index + 1 was compared with the number of fragments. For u32::MAX a debug build panicked while it held the turns of the shard, and a release build took the fragment for one of more to come. A record that can't be decoded has to cost only itself.

--- a/crates/rosethread_entry/src/turns.rs
+++ b/crates/rosethread_entry/src/turns.rs
@@ -168,7 +168,7 @@
             self.partial_turn.clear();
         }
         self.partial_turn.extend_from_slice(&fragment.bytes);
-        if fragment.index + 1 < fragment.count {
+        if fragment.index < fragment.count.saturating_sub(1) {
             return Ok(());
         }
         let turn = postcard::from_bytes(&std::mem::take(&mut self.partial_turn))?;
--- a/crates/rosethread_entry/tests/chains.rs
+++ b/crates/rosethread_entry/tests/chains.rs
@@ -123,3 +123,25 @@
         assert_eq!(tree.transcript(&"a".parse().unwrap(), Duration::ZERO), None);
     }
 }
+
+/// Applies a record with a fragment of a turn as any process may write it, and then a regular turn.
+fn check_odd_fragment(index: u32, count: u32, bytes: &[u8], is_valid: bool) {
+    let mut cache = ShardTurnCache::default();
+    let odd = postcard::to_stdvec(&("odd", index, count, bytes)).unwrap();
+    assert_eq!(cache.apply_record(0, &odd, Duration::ZERO).is_ok(), is_valid);
+    let records = turn_records(&turn("a", None, "A", "a\n"), 4_096);
+    for (offset, record) in (1..).zip(&records) {
+        cache.apply_record(offset, record, Duration::ZERO).unwrap();
+    }
+    let found = cache.lookup(&"a".parse().unwrap(), Duration::ZERO);
+    assert_eq!(found, TurnLookup::Transcript("Aa\n".into()));
+}
+
+// Guards against a reader of the log that ends because of one odd record (LOST).
+rosethread_cases::cases!(check_odd_fragment {
+    the_largest_index: (u32::MAX, 1, b"x", false);
+    the_largest_index_and_count: (u32::MAX, u32::MAX, b"x", false);
+    the_largest_count: (0, u32::MAX, b"x", true);
+    no_fragments: (0, 0, b"x", false);
+    no_bytes: (0, 1, b"", false);
+});
