Sums of numbers that others name don't overflow

What callers saw: with two targets that register a capacity of 2^32 - 1, or a route of priority 128 or more, or prompt parts of 2^64 - 1 tokens, calls of a debug build end without an answer; the sum of the capacities overflows while the loads are locked, so that every later call fails as well. A release build wraps: it takes a service with room for a full one, and the route of the last priority for one of the first (255 + 1 = 0).

Cause: registrations, configurations, reports and headers may name any number of their type, and sums assumed small ones. They saturate now: slots and calls under way of a service, of a target in reports and in placement, the rank of a route, tokens of prompt parts.

The wrapping of release builds is read from the code; no release build was run.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -43,7 +43,7 @@
 impl PromptSize {
     /// Returns the tokens of the whole prompt: the larger of `input` and the sum of the parts.
     pub fn input_tokens(&self) -> Tokens {
-        self.input.max(self.parts.iter().map(|it| it.1).sum())
+        self.input.max(self.parts.iter().fold(0, |sum, it| it.1.saturating_add(sum)))
     }
 }
 
--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -303,7 +303,7 @@
 /// Returns the rank among an engine's requests: by the route's priority, and within a priority
 /// programs that have already produced tokens first.
 fn rank(route: &Route, is_underway: bool) -> u8 {
-    (route.priority.saturating_mul(2) + u8::from(!is_underway)).min(LOWEST_RANK)
+    route.priority.saturating_mul(2).saturating_add(u8::from(!is_underway)).min(LOWEST_RANK)
 }
 
 /// The targets that a call was sent to, as reported to the owner of its program.
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -216,13 +216,16 @@
     let usable = |it: &&Target| it.service == *service && it.status == TargetStatus::Ready;
     let remote = entry.remote_reports();
     let loads = entry.loads.lock();
-    let (mut running, mut slots) = (0, 0);
+    let (mut running, mut slots) = (0_u32, 0_u32);
     for target in targets.values().filter(usable) {
         let local_running = loads.get(&target.name).map_or(0, |it| it.health.outstanding);
-        running += local_running + remote.running.get(&target.name).copied().unwrap_or(0);
+        let remote_running = remote.running.get(&target.name).copied().unwrap_or(0);
+        running = running.saturating_add(local_running).saturating_add(remote_running);
         let rate = entry.limits.rate(target, &remote.limits, entry.sharers(&remote), entry.now());
         let service_s = loads.get(&target.name).map_or(0.0, |it| it.health.service_s);
-        slots += rate.map_or(target.slots, |it| usable_slots(target.slots, it, service_s));
+        let usable = rate.map_or(target.slots, |it| usable_slots(target.slots, it, service_s));
+        // A registration may name any number of slots.
+        slots = slots.saturating_add(usable);
     }
     should_shed(running, slots, entry.random.next_f64()).then_some(ServiceLoad { running, slots })
 }
@@ -260,7 +263,7 @@
     let is_same_zone = target.zone == entry.settings.zone;
     Candidate {
         slots: target.slots,
-        running: local_running + remote_running,
+        running: local_running.saturating_add(remote_running),
         waiting: 0,
         cached,
         pressure: stats.health.pressure,
--- a/crates/rosethread_entry/src/load.rs
+++ b/crates/rosethread_entry/src/load.rs
@@ -40,7 +40,7 @@
         let is_cached = |it: &&(PromptPart, u64)| {
             self.cached_parts.get(&it.0).is_some_and(|last_used| now < *last_used + CACHE_TTL)
         };
-        prompt.iter().take_while(is_cached).map(|it| it.1).sum()
+        prompt.iter().take_while(is_cached).fold(0, |sum, it| it.1.saturating_add(sum))
     }
 
     /// Marks the parts of a prompt as cached from `now` on, and evicts old parts above the limit.
@@ -163,7 +163,8 @@
         let mut reports = RemoteReports::default();
         for node in view.live().filter(|it| it.node != *own) {
             for load in &node.summary.targets {
-                *reports.running.entry(load.target.clone()).or_default() += u32::from(load.running);
+                let running = reports.running.entry(load.target.clone()).or_default();
+                *running = running.saturating_add(u32::from(load.running));
             }
             for limit in &node.summary.limits {
                 let known = reports.limits.entry(limit.target.clone()).or_insert(limit.clone());
--- a/crates/rosethread_policy/src/copies.rs
+++ b/crates/rosethread_policy/src/copies.rs
@@ -181,7 +181,7 @@
             holders.order.splice(..holders.copies, ranked);
             holders.copies = copy_count(share, targets.len(), headroom).min(holders.copies);
             for it in &holders.order[..holders.copies] {
-                holders.tokens[*it] += size;
+                holders.tokens[*it] = holders.tokens[*it].saturating_add(*size);
             }
         }
         is_shared.then_some(holders)
--- a/crates/rosethread_policy/src/place.rs
+++ b/crates/rosethread_policy/src/place.rs
@@ -40,6 +40,13 @@
     pub has_share: bool,
 }
 
+impl Candidate {
+    /// Returns the calls that the target works on or that wait for it.
+    fn work(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// The call to place.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PlacementRequest {
@@ -150,9 +157,7 @@
         return None;
     }
     let pair = draw_two(usable, random);
-    let work = |it: &Candidate| {
-        f64::from(it.running + it.waiting) / f64::from(it.slots.max(1)) + it.network_s
-    };
+    let work = |it: &Candidate| f64::from(it.work()) / f64::from(it.slots.max(1)) + it.network_s;
     let own_shares = usable.iter().filter(|(_, it)| it.has_share).copied();
     let (index, _) =
         pair.into_iter().chain(own_shares).min_by(|a, b| work(a.1).total_cmp(&work(b.1)))?;
@@ -160,7 +165,7 @@
 }
 
 fn least_loaded<'a>(usable: impl Iterator<Item = (usize, &'a Candidate)>) -> Option<Placement> {
-    let (index, _) = usable.min_by_key(|(_, it)| it.running + it.waiting)?;
+    let (index, _) = usable.min_by_key(|(_, it)| it.work())?;
     Some(Placement { index, cost: 0.0 })
 }
 
@@ -188,7 +193,7 @@
 /// with free slots.
 fn queue_wait_s(candidate: &Candidate) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
-    let ahead = f64::from(candidate.running + candidate.waiting);
+    let ahead = f64::from(candidate.work());
     let excess = (ahead + 1.0 - slots).max(0.0);
     let slowdown = candidate.batch_slowdown * (ahead / slots).min(1.0);
     candidate.service_s * (excess / slots + slowdown)
