routes: durations that no clock can hold are limited

Cause: Duration and Instant panic where a sum overflows, and any number of a configuration that fits into a Duration was used as it is. Routes are limited where they are activated, whether they come from the store or from a peer, to a year for each duration and to 2^32 tokens for an event; a number beyond all durations is the longest, not none.

--- a/crates/rosethread_entry/src/control/routes.rs
+++ b/crates/rosethread_entry/src/control/routes.rs
@@ -84,6 +84,7 @@
 /// requested. Both are only logged, so that a change which was late in the store can be told from one
 /// whose read was pending across an outage.
 fn activate(entry: &Entry, routes: Routes, source: &str, started: Instant) {
+    let routes = routes.limited();
     let (revision, count) = (routes.revision, routes.count());
     let previous = entry.routes().revision;
     let is_activated = entry.routes.send_if_modified(|it| {
--- a/crates/rosethread_entry/src/routes.rs
+++ b/crates/rosethread_entry/src/routes.rs
@@ -9,6 +9,12 @@
 use rosethread_types::{Revision, ServiceName, Tokens};
 use serde::{Deserialize, Serialize};
 
+/// The longest duration that routes may name: sums of it and of any clock do not overflow.
+const MAX_DURATION: Duration = Duration::from_secs(365 * 24 * 3_600);
+
+/// The most tokens that one event may stand for: sums of it do not overflow.
+const MAX_EVENT_TOKENS: Tokens = 1 << 32;
+
 /// Whether a request may be executed more than once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
@@ -154,6 +160,28 @@
         prefixes.insert(route.prefix.clone(), Arc::new(route));
     }
 
+    /// Limits all durations and counts to what sums of them can hold. The operator may name any, and a
+    /// peer passes them on.
+    #[must_use]
+    pub fn limited(mut self) -> Routes {
+        let limit = |it: &mut Duration| *it = MAX_DURATION.min(*it);
+        limit(&mut self.limits.header_time);
+        limit(&mut self.limits.idle_time);
+        for route in self.hosts.values_mut().flat_map(BTreeMap::values_mut) {
+            let route = Arc::make_mut(route);
+            limit(&mut route.timeout);
+            limit(&mut route.objective);
+            route.history.iter_mut().for_each(limit);
+            if let RouteKind::Stream { gap, .. } = &mut route.kind {
+                limit(gap);
+            }
+        }
+        for engine in self.services.values_mut().filter_map(|it| it.engine.as_mut()) {
+            engine.event_tokens = MAX_EVENT_TOKENS.min(engine.event_tokens);
+        }
+        self
+    }
+
     /// Returns the number of routes.
     pub fn count(&self) -> usize {
         self.hosts.values().map(BTreeMap::len).sum()
--- a/crates/rosethread_entry/tests/routes.rs
+++ b/crates/rosethread_entry/tests/routes.rs
@@ -1,8 +1,14 @@
 //! Tests for the lookup by longest prefix, the weighted choice of a service, and repeatable routes.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use rosethread_entry::{Route, RouteKind, Routes, WeightedService};
+use rosethread_entry::{
+    ClientLimits, EngineProfile, Route, RouteKind, Routes, Service, WeightedService,
+};
+use rosethread_types::ServiceName;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -71,3 +77,45 @@
     a_resumable_stream_may_repeat:
         (RouteKind::Stream { resumable: true, gap: Duration::ZERO }, true);
 });
+
+// Guards against sums with a clock that overflow, and end what computes them (LOST).
+#[test]
+fn limited_routes_name_nothing_that_overflows_a_sum() {
+    let longest = Route {
+        kind: RouteKind::Stream { resumable: true, gap: Duration::MAX },
+        timeout: Duration::MAX,
+        objective: Duration::MAX,
+        history: Some(Duration::MAX),
+        ..route("r", "a.example", "/")
+    };
+    let name: ServiceName = "s".parse().unwrap();
+    let engine = EngineProfile { slots: u32::MAX, memory: u64::MAX, event_tokens: u64::MAX };
+    let service = Service { name: name.clone(), connections: u32::MAX, engine: Some(engine) };
+    let limits = ClientLimits {
+        header_time: Duration::MAX,
+        idle_time: Duration::MAX,
+        ..ClientLimits::default()
+    };
+    let mut routes = Routes { limits, ..Routes::default() };
+    routes.services.insert(name.clone(), service);
+    routes.add(longest);
+    let routes = routes.limited();
+    let route = routes.find("a.example", "/x").unwrap();
+    let RouteKind::Stream { gap, .. } = route.kind else {
+        panic!("the kind has changed");
+    };
+    let ClientLimits { header_time, idle_time, .. } = routes.limits;
+    let durations = [gap, route.timeout, route.objective, header_time, idle_time];
+    for it in durations.into_iter().chain(route.history) {
+        assert!(Instant::now().checked_add(2 * it).is_some(), "{it:?}");
+    }
+    let tokens = routes.services[&name].engine.unwrap().event_tokens;
+    assert!(tokens.checked_mul(1 << 20).is_some(), "{tokens}");
+}
+
+#[test]
+fn usual_routes_are_not_changed() {
+    let mut routes = Routes::default();
+    routes.add(Route { history: Some(Duration::from_secs(3_600)), ..route("r", "a", "/") });
+    assert_eq!(routes.clone().limited(), routes);
+}
