registry: the store's order decides, not a registration's numbers (LOST)

What callers saw: after one record with seq or born of 2^64 - 1 under the key of a target, hosts no longer followed this target: they kept the address and state of that record, whatever the target wrote later.

Cause: registrations were ordered by start and version also where the store had already ordered them. A host reads the store in order, so the later record counts. Lists of peers are still ordered by their numbers, as a peer may have read earlier.

What remains: a host that has lost the store keeps such a record against the lists of its peers.

--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -73,7 +73,7 @@
             removed = registry.apply_listing(listed.chain(&changes.unreadable), now);
         }
         for target in changes.registered {
-            registry.upsert(target);
+            registry.replace(target);
         }
         for name in changes.removed {
             if registry.handle_missing(&name, now) {
--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -128,13 +128,24 @@
         TargetRegistry { min_outage: report_period * MISSED_REPORTS, ..TargetRegistry::default() }
     }
 
-    /// Adds or updates a target, unless a newer registration is known.
+    /// Adds or updates a target as a peer lists it, unless a newer registration is known.
     ///
     /// Returns whether anything but the version changed; a target that had been missing has
     /// changed.
     pub fn upsert(&mut self, target: Target) -> bool {
+        let known = self.registrations.get(&target.name);
+        if known.is_some_and(|it| !target.supersedes(&it.target)) {
+            return false;
+        }
+        self.replace(target)
+    }
+
+    /// Adds or updates a target as the store lists it, whatever its version: the store's order decides.
+    /// By their versions, no registration would replace one that another process wrote with the largest.
+    ///
+    /// Returns whether anything but the version changed, as [`Self::upsert`] does.
+    pub fn replace(&mut self, target: Target) -> bool {
         match self.registrations.get_mut(&target.name) {
-            Some(registration) if !target.supersedes(&registration.target) => false,
             Some(registration) => {
                 let mut target = target;
                 // A peer of an earlier release leaves out the version of the software.
--- a/crates/rosethread_entry/tests/registry.rs
+++ b/crates/rosethread_entry/tests/registry.rs
@@ -232,3 +232,20 @@
     registry.upsert(target(2, 1));
     assert_eq!(registry.targets()[&name()].software, None);
 }
+
+/// Registers `first` and then `second` as the store lists them, and compares the start and the version.
+fn check_store_order(first: Target, second: Target) {
+    let mut registry = TargetRegistry::new(REPORT_PERIOD);
+    registry.replace(first);
+    let expected = second.clone();
+    registry.replace(second);
+    assert_eq!(registry.registered().get(&name()), Some(&expected));
+}
+
+// Guards against a registration with the largest numbers, after which none of that target counts (LOST).
+rosethread_cases::cases!(check_store_order {
+    the_store_replaces_the_largest_version: (target(1, u64::MAX), target(1, 2));
+    the_store_replaces_the_latest_start: (target(u64::MAX, 1), target(1, 2));
+    the_store_replaces_both: (target(u64::MAX, u64::MAX), target(1, 2));
+    the_store_repeats_a_registration: (target(1, 2), target(1, 2));
+});
