registry: no target has an address that names no host, or this one

What callers saw: with registrations at port 0, at 0.0.0.0, at a multicast or broadcast address, calls are sent there first, and each costs a send; one at a host's own listener makes the host send calls to itself, where they come in as new ones. Such addresses decode, so nothing refused them.

What remains: the address of another host's listener, or of another target, is not told from a target's; a call there is refused or answered by Expect-Instance.

--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -183,9 +183,12 @@
     }
     let peer = peers[entry.random.next_u64() as usize % peers.len()];
     let reply = entry.peers.request(peer.contact.peer, PeerRequest::Targets).await;
-    let Ok(PeerReply::Targets { targets, age_ms }) = reply else {
+    let Ok(PeerReply::Targets { mut targets, age_ms }) = reply else {
         return;
     };
+    // A peer of an earlier release lists them, and each peer those at this host's own addresses.
+    let own_addresses = &entry.settings.addresses;
+    targets.retain(|it| it.has_usable_address() && !own_addresses.accepts_at(it.address));
     let age = Duration::from_millis(age_ms);
     if entry.targets_age() <= age {
         return;
--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -17,7 +17,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     time::Duration,
 };
 
@@ -65,6 +65,13 @@
 }
 
 impl Target {
+    /// Returns whether a target can listen on the address: it names one host and a port.
+    pub fn has_usable_address(&self) -> bool {
+        let ip = self.address.ip().to_canonical();
+        let is_broadcast = matches!(ip, IpAddr::V4(it) if it.is_broadcast());
+        self.address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+    }
+
     /// Returns whether this registration is as new as `other` or newer. One that is just as new
     /// also counts, since it shows that the target is still registered.
     fn supersedes(&self, other: &Target) -> bool {
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -66,6 +66,14 @@
     pub metrics: SocketAddr,
 }
 
+impl EntryAddresses {
+    /// Returns whether `address` is one at which the node accepts connections.
+    pub fn accepts_at(&self, address: SocketAddr) -> bool {
+        let EntryAddresses { caller, ready, directory, peer, metrics, .. } = self;
+        [caller, ready, directory, peer, metrics].contains(&&address)
+    }
+}
+
 /// The platform's store: its address and limits.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
