--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -69,8 +69,7 @@
         let mut registry = entry.registry.lock().expect("the lock is not poisoned");
         registry.set_unreachable(false, now);
         if changes.is_complete {
-            let listed = changes.registered.iter().map(|it| &it.name);
-            removed = registry.apply_listing(listed.chain(&changes.unreadable), now);
+            removed = registry.apply_listing(changes.registered.iter().map(|it| &it.name), now);
         }
         for target in changes.registered {
             registry.replace(target);
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -37,8 +37,6 @@
     pub registered: Vec<Target>,
     /// Targets whose registration was removed.
     pub removed: Vec<TargetName>,
-    /// Targets whose registration can't be decoded; what was known of them still counts.
-    pub unreadable: BTreeSet<TargetName>,
 }
 
 /// The source of the target registrations.
