--- a/crates/rosethread_entry/src/origins.rs
+++ b/crates/rosethread_entry/src/origins.rs
@@ -198,8 +198,17 @@
     call: &Call,
     service: &ServiceName,
 ) -> Result<AllowedSoftware, Refusal> {
+    if call.resume_after.is_none() {
+        return Ok(AllowedSoftware::Any);
+    }
     let has_one_version = entry.knows_software() && entry.software(service).len() <= 1;
-    if call.resume_after.is_none() || has_one_version {
+    info!(entry.logger, "origins: a stream is taken up"; "id" => %call.id,
+        "resumes" => call.resumes.as_ref().map_or("", |it| it.as_str()),
+        "software" => ?entry.software(service), "is_known" => entry.knows_software(),
+        "targets_age_ms" => entry.targets_age_ms(),
+        "store_silence_ms" => entry.time_since_store_response().as_millis() as u64,
+        "live_hosts" => entry.view().live().count());
+    if has_one_version {
         return Ok(AllowedSoftware::Any);
     }
     let refuse = |detail: String| {
