registry: a version counts from the read by which its last target has left

What callers would see (ORDER): a host that has read nothing for more than 60 s counts one version right after its first read, though the last target of the other has just left; a stream that began there goes on at another version.

A version was last seen when its target was last listed, not when the host learned that it is gone. Its streams may have begun at any time in between, so the 60 s begin with the later one.

--- a/crates/rosethread_entry/src/registry.rs
+++ b/crates/rosethread_entry/src/registry.rs
@@ -70,6 +70,10 @@
     fn supersedes(&self, other: &Target) -> bool {
         (other.start, other.version) <= (self.start, self.version)
     }
+
+    fn service_software(&self) -> (ServiceName, Option<SoftwareVersion>) {
+        (self.service.clone(), self.software.clone())
+    }
 }
 
 /// A registered target and the state of its registration.
@@ -112,6 +116,8 @@
     leaving: BTreeMap<TargetName, LeavingNotice>,
     /// When each version of the software of a service was last registered.
     software_seen: BTreeMap<(ServiceName, Option<SoftwareVersion>), Duration>,
+    /// The versions of targets that left since `software_seen` was last updated, which may be long ago.
+    left_software: BTreeSet<(ServiceName, Option<SoftwareVersion>)>,
     /// The shortest store outage that can let registrations expire.
     min_outage: Duration,
     /// When the store last responded, to this host or to a peer.
@@ -145,6 +151,9 @@
                     Target { version: registration.target.version, ..target.clone() };
                 let is_changed =
                     same_version != registration.target || registration.missing_since.is_some();
+                if target.software != registration.target.software {
+                    self.left_software.insert(registration.target.service_software());
+                }
                 *registration = Registration { target, missing_since: None };
                 is_changed
             }
@@ -183,7 +192,7 @@
         let is_in_grace = self.is_unreachable
             || self.recovered_at.is_some_and(|it| now < it + REREGISTRATION_GRACE);
         if !is_in_grace {
-            return self.registrations.remove(name).is_some();
+            return self.remove(name);
         }
         if let Some(registration) = self.registrations.get_mut(name) {
             registration.missing_since.get_or_insert(now);
@@ -222,7 +231,7 @@
         let missing = self.registrations.iter().filter(|(_, it)| it.missing_since.is_some());
         let gone: Vec<TargetName> = missing.map(|(name, _)| name.clone()).collect();
         for name in &gone {
-            self.registrations.remove(name);
+            self.remove(name);
         }
         gone
     }
@@ -251,10 +260,19 @@
         let listed: BTreeSet<&TargetName> = listed.collect();
         let gone: Vec<TargetName> =
             self.registrations.keys().filter(|it| !listed.contains(it)).cloned().collect();
-        self.registrations.retain(|name, _| !gone.contains(name));
+        for name in &gone {
+            self.remove(name);
+        }
         gone
     }
 
+    /// Removes a registration; returns whether there was one.
+    fn remove(&mut self, name: &TargetName) -> bool {
+        let removed = self.registrations.remove(name);
+        self.left_software.extend(removed.iter().map(|it| it.target.service_software()));
+        removed.is_some()
+    }
+
     /// Returns the time since the store's last response to this host or a peer, which is the age of
     /// the listing, or `None` if it has never responded.
     ///
@@ -280,9 +298,10 @@
         now: Duration,
     ) -> BTreeMap<ServiceName, BTreeSet<Option<SoftwareVersion>>> {
         for Registration { target, .. } in self.registrations.values() {
-            let key = (target.service.clone(), target.software.clone());
-            self.software_seen.insert(key, now);
+            self.software_seen.insert(target.service_software(), now);
         }
+        let left = std::mem::take(&mut self.left_software);
+        self.software_seen.extend(left.into_iter().map(|it| (it, now)));
         self.software_seen.retain(|_, seen| now < *seen + SOFTWARE_RETENTION);
         let mut software: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
         for (service, version) in self.software_seen.keys() {
