software: the record of versions is read again after each gap

After a failed read a host takes a list of the targets, which lacks those that left meanwhile. The record in the store has their versions, but was read at the start only. A list without an unbroken history before it is a gap now, as the start is: the record is read at once, and again after 3 s, when the others have written what they saw. A host that has not read it writes nothing to it either, as it would take out versions that it has not heard of.

A store whose reads fail now and then makes gaps, each of which costs two reads of the record.

--- a/crates/rosethread_entry/src/control.rs
+++ b/crates/rosethread_entry/src/control.rs
@@ -35,6 +35,7 @@
     tasks.spawn_control(routes::follow_store(entry.clone()));
     tasks.spawn_control(routes::follow_peers(entry.clone()));
     tasks.spawn_control(targets::follow_store(entry.clone()));
+    tasks.spawn_control(software::read_after_gaps(entry.clone()));
     tasks.spawn_control(software::follow_record(entry.clone()));
     tasks.spawn_control(periodic::update_summary(entry.clone(), members.clone()));
     tasks.spawn(periodic::expire_unused(entry.clone()));
--- a/crates/rosethread_entry/src/control/software.rs
+++ b/crates/rosethread_entry/src/control/software.rs
@@ -19,7 +19,8 @@
     control::targets,
     entry::Entry,
     fingerprint::Fingerprint,
-    origins::{ServiceSoftware, Software},
+    origins::Software,
+    software::{Certainty, RECORD_LAG},
 };
 
 /// The delay before a retry after a failed read or write.
@@ -38,14 +39,29 @@
 /// The versions of each service that this host has last found, or made, equal to the record.
 type Compared = BTreeMap<ServiceName, BTreeSet<Software>>;
 
-/// Reads the record, and then writes what changes.
+/// Reads the record at the start, and whenever this host may have missed versions that came and went:
+/// at once, and again when the other hosts have written what they had seen.
+pub(super) async fn read_after_gaps(entry: Arc<Entry>) {
+    let gap_found = &entry.software_history.gap_found;
+    loop {
+        read_record(&entry).await;
+        if timeout(RECORD_LAG, gap_found.notified()).await.is_err() {
+            read_record(&entry).await;
+            gap_found.notified().await;
+        }
+    }
+}
+
+/// Writes what changes.
 pub(super) async fn follow_record(entry: Arc<Entry>) {
-    let recorded = read_record(&entry).await;
-    info!(entry.logger, "software: read the record"; "versions" => recorded.len());
-    targets::add_recorded(&entry, &recorded);
+    // Until it has read the record, this host does not know what is to be taken out of it.
+    let is_unknown = || entry.software_history.certainty(entry.now()) == Certainty::Unknown;
     let mut changes = entry.software.subscribe();
     let mut compared = Compared::new();
     loop {
+        while is_unknown() {
+            sleep(RETRY_DELAY).await;
+        }
         let current = changes.borrow_and_update().clone();
         // The changes that are this host's first come before those that it may leave to others.
         for rank in 0..WRITERS {
@@ -84,11 +100,18 @@
     writers.iter().position(|it| **it == entry.settings.node)
 }
 
-async fn read_record(entry: &Entry) -> BTreeSet<ServiceSoftware> {
+/// Reads the record, and counts the versions that it has.
+async fn read_record(entry: &Arc<Entry>) {
     let mut is_first = true;
     loop {
+        let began = entry.now();
         match entry.software_record.read().await {
-            Ok(recorded) => return recorded,
+            Ok(recorded) => {
+                info!(entry.logger, "software: read the record"; "versions" => recorded.len());
+                targets::add_recorded(entry, &recorded);
+                entry.software_history.record_read(began);
+                return;
+            }
             Err(error) => {
                 if std::mem::replace(&mut is_first, false) {
                     warn!(entry.logger, "software: cannot read the record"; "error" => %error);
--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -1,10 +1,6 @@
 //! Keeps the list of registered targets up to date, from the store or, in an outage, from a peer.
 
-use std::{
-    collections::BTreeSet,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use rosethread_platform::SharedLogError;
 use rosethread_runtime::Tick;
@@ -65,6 +61,9 @@
 fn apply_changes(entry: &Arc<Entry>, changes: TargetChanges) {
     let now = entry.now();
     let mut removed = Vec::new();
+    if changes.is_complete {
+        entry.software_history.record_gap(now);
+    }
     {
         let mut registry = entry.registry.lock().expect("the lock is not poisoned");
         registry.set_unreachable(false, now);
@@ -141,12 +140,11 @@
     }
 }
 
-/// Counts the versions that were recorded before this host started as if their targets had just left.
+/// Counts the versions in the record as if their targets had just left.
 pub(super) fn add_recorded(entry: &Arc<Entry>, recorded: &BTreeSet<ServiceSoftware>) {
     let mut registry = entry.registry.lock().expect("the lock is not poisoned");
     registry.add_software(recorded, entry.now());
     publish_software(entry, registry.software(entry.now()));
-    entry.has_software_record.store(true, Ordering::Relaxed);
 }
 
 /// Excludes a target from new calls because it said in a response that it is leaving.
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -7,7 +7,7 @@
     collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -35,10 +35,11 @@
     paths::Paths,
     peers::PeerClient,
     ports::{RoutesSource, SoftwareRecord, TargetsSource, Upstream},
-    registry::{SOFTWARE_RETENTION, Target, TargetRegistry},
+    registry::{Target, TargetRegistry},
     routes::Routes,
     settings::{EntrySettings, ReloadableSettings},
     shards::Shards,
+    software::{Certainty, SoftwareHistory},
     suspects::SuspectedCalls,
 };
 
@@ -138,8 +139,8 @@
     pub(crate) origins: Origins,
     /// The versions of software of each service.
     pub(crate) software: watch::Sender<Arc<SoftwareByService>>,
-    /// Whether `software` includes the versions from before this host started.
-    pub(crate) has_software_record: AtomicBool,
+    /// Whether `software` includes the versions that this host did not see itself.
+    pub(crate) software_history: SoftwareHistory,
     /// The calls that are suspected of crashing targets.
     pub(crate) suspects: SuspectedCalls,
     /// The paths to targets, direct ones and by way of other hosts.
@@ -175,7 +176,7 @@
             limits: TargetLimits::default(),
             origins: Origins::default(),
             software: watch::Sender::new(Arc::default()),
-            has_software_record: AtomicBool::new(false),
+            software_history: SoftwareHistory::default(),
             suspects: SuspectedCalls::default(),
             paths: Paths::default(),
             auth_keys: AuthKeys::new(KeySettings::decode(&dependencies.settings.keys.shared)),
@@ -358,10 +359,9 @@
         self.software.borrow().get(service).cloned().unwrap_or_default()
     }
 
-    /// Returns whether this host knows of all versions whose streams may still be taken up: from the
-    /// record, or as it has been running for long enough.
+    /// Returns whether this host knows of all versions whose streams may still be taken up.
     pub(crate) fn knows_software(&self) -> bool {
-        self.has_software_record.load(Ordering::Relaxed) || SOFTWARE_RETENTION < self.now()
+        Certainty::Likely <= self.software_history.certainty(self.now())
     }
 
     /// Returns the fingerprint of a service's name.
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -38,6 +38,7 @@
 mod routes;
 mod settings;
 mod shards;
+mod software;
 mod stream;
 mod suspects;
 mod turns;
