origins: a stream of the only version is bound to it

What callers would see (ORDER), without any host out of step: a caller takes a stream up while there is one version, the call waits or its target fails before the first event, a target of a second version registers, and the call goes there.

"There is one version" was kept as "any target may run the call", a conclusion that outlives what it was drawn from. It is kept as that version now.

--- a/crates/rosethread_entry/src/origins.rs
+++ b/crates/rosethread_entry/src/origins.rs
@@ -62,7 +62,7 @@
 /// The versions that may run a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum AllowedSoftware {
-    /// Nothing of the stream has been sent yet, or there is only one version.
+    /// Nothing of the stream has been sent yet.
     Any,
     /// The version that began the stream.
     Only(Software),
@@ -209,7 +209,9 @@
         "store_silence_ms" => entry.time_since_store_response().as_millis() as u64,
         "live_hosts" => entry.view().live().count());
     if has_one_version {
-        return Ok(AllowedSoftware::Any);
+        // A target of another version may register before the call is sent.
+        let only = entry.software(service).into_iter().next();
+        return Ok(only.map_or(AllowedSoftware::Any, AllowedSoftware::Only));
     }
     let refuse = |detail: String| {
         entry.metrics.lost_streams.inc();
