origins: that a service has one version takes a read that began after the call

"I have seen one version" was used without regard to its age: 700 ms at a host in step, any time at one that stood still or does not reach the store. A bound on the age would leave the first 700 ms open, and trusts a clock. The order of events closes both: a stream begins at a version after some host has read of it, and breaks before it is taken up; so a read of the registry that begins after the call arrived has that version, whatever the host missed before.

- The host that gets the call knows the stream, or reads the registry again; calls that wait share a read, 20 a second at most.
- Where it cannot, or has a gap in what it followed, it asks the four hosts that may know the stream.
They read again in their turn, and one that is certain decides.
- Where nobody reaches the store, the stream goes on if three of four say that they don't know it and all count the same version: a host that had read of a second one has told two of the four.
Else it is refused.

In the log, 'origins: a stream is taken up' has the version that was found and what the host counted.

--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -6,6 +6,7 @@
 use rosethread_runtime::Tick;
 use rosethread_types::{ServiceName, TargetName};
 use slog::{info, warn};
+use tokio::time::{Instant, sleep_until};
 
 use crate::{
     entry::Entry,
@@ -18,6 +19,9 @@
 /// The period at which the registry in the store is read.
 const READ_PERIOD: Duration = Duration::from_millis(700);
 
+/// The minimum time from one read of the registry to the next that calls wait for.
+const MIN_READ_PERIOD: Duration = Duration::from_millis(50);
+
 /// The age of the target list from which this host asks a peer for a newer one.
 const MAX_AGE: Duration = Duration::from_millis(1_000);
 
@@ -26,6 +30,8 @@
     let mut ticks = entry.timer.every(READ_PERIOD);
     let mut was_reachable = true;
     loop {
+        let began = Instant::now();
+        let number = entry.registry_reads.begin();
         match entry.targets_source.fetch_changes().await {
             Ok(changes) => {
                 if !std::mem::replace(&mut was_reachable, true) {
@@ -34,16 +40,23 @@
                 }
                 entry.record_store_response();
                 apply_changes(&entry, changes);
+                entry.registry_reads.end(number, true);
             }
             Err(error) => {
                 record_failure(&entry, std::mem::replace(&mut was_reachable, false), &error);
+                entry.registry_reads.end(number, false);
                 if MAX_AGE < entry.targets_age() {
                     fetch_from_peer(&entry).await;
                 }
             }
         }
-        if ticks.recv().await != Some(Tick) {
-            return;
+        tokio::select! {
+            tick = ticks.recv() => if tick != Some(Tick) {
+                return;
+            },
+            () = entry.registry_reads.wait_until_wanted() => {
+                sleep_until(began + MIN_READ_PERIOD).await;
+            }
         }
     }
 }
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -39,7 +39,7 @@
     routes::Routes,
     settings::{EntrySettings, ReloadableSettings},
     shards::Shards,
-    software::{Certainty, SoftwareHistory},
+    software::{RegistryReads, SoftwareHistory},
     suspects::SuspectedCalls,
 };
 
@@ -141,6 +141,8 @@
     pub(crate) software: watch::Sender<Arc<SoftwareByService>>,
     /// Whether `software` includes the versions that this host did not see itself.
     pub(crate) software_history: SoftwareHistory,
+    /// The reads of the registry in the store.
+    pub(crate) registry_reads: RegistryReads,
     /// The calls that are suspected of crashing targets.
     pub(crate) suspects: SuspectedCalls,
     /// The paths to targets, direct ones and by way of other hosts.
@@ -177,6 +179,7 @@
             origins: Origins::default(),
             software: watch::Sender::new(Arc::default()),
             software_history: SoftwareHistory::default(),
+            registry_reads: RegistryReads::default(),
             suspects: SuspectedCalls::default(),
             paths: Paths::default(),
             auth_keys: AuthKeys::new(KeySettings::decode(&dependencies.settings.keys.shared)),
@@ -359,11 +362,6 @@
         self.software.borrow().get(service).cloned().unwrap_or_default()
     }
 
-    /// Returns whether this host knows of all versions whose streams may still be taken up.
-    pub(crate) fn knows_software(&self) -> bool {
-        Certainty::Likely <= self.software_history.certainty(self.now())
-    }
-
     /// Returns the fingerprint of a service's name.
     pub(crate) fn service_fingerprint(&self, service: &ServiceName) -> Fingerprint {
         Fingerprint::of_service(service, &self.fingerprint_key)
--- a/crates/rosethread_entry/src/origins.rs
+++ b/crates/rosethread_entry/src/origins.rs
@@ -7,11 +7,13 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use futures::{StreamExt, stream::FuturesUnordered};
+use rosethread_membership::ClusterView;
 use rosethread_policy::select_replicas;
 use rosethread_types::{NodeName, Reason, Refusal, RequestId, ServiceName, SoftwareVersion};
 use slog::{info, warn};
@@ -23,6 +25,7 @@
     fingerprint::Fingerprint,
     peers::{PeerReply, PeerRequest},
     registry::TargetStatus,
+    software::{self, Certainty, Confirmation},
 };
 
 /// The hosts that are told of a stream's version, beside the one that forwards the stream.
@@ -34,6 +37,9 @@
 /// The time in which the asked hosts answer. A host that was lost a moment ago does not.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// The time in which they answer if they read the registry before.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How long a stream's version is kept: longer than callers wait for the end of a stream.
 const ORIGIN_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -201,53 +207,132 @@
     if call.resume_after.is_none() {
         return Ok(AllowedSoftware::Any);
     }
-    let has_one_version = entry.knows_software() && entry.software(service).len() <= 1;
-    info!(entry.logger, "origins: a stream is taken up"; "id" => %call.id,
-        "resumes" => call.resumes.as_ref().map_or("", |it| it.as_str()),
-        "software" => ?entry.software(service), "is_known" => entry.knows_software(),
+    let found = find_software(entry, call, service).await;
+    let attempt = call.resumes.as_ref().map_or("", |it| it.as_str());
+    info!(entry.logger, "origins: a stream is taken up"; "id" => %call.id, "resumes" => attempt,
+        "began_at" => ?found, "software" => ?entry.software(service),
+        "certainty" => ?entry.software_history.certainty(entry.now()),
         "targets_age_ms" => entry.targets_age_ms(),
         "store_silence_ms" => entry.time_since_store_response().as_millis() as u64,
         "live_hosts" => entry.view().live().count());
-    if has_one_version {
-        // A target of another version may register before the call is sent.
-        let only = entry.software(service).into_iter().next();
-        return Ok(only.map_or(AllowedSoftware::Any, AllowedSoftware::Only));
-    }
     let refuse = |detail: String| {
         entry.metrics.lost_streams.inc();
         Err(Refusal::not_run(Reason::NoTarget, detail).retry_after(LOST_STREAM_RETRY))
     };
-    let Some(attempt) = &call.resumes else {
-        return refuse("the call does not say which attempt began the stream".to_owned());
-    };
-    let key = origin_key(entry, attempt);
-    let found = match entry.origins.find(key) {
-        Some(software) => Some(software),
-        None => ask_hosts(entry, key).await,
-    };
     let Some(software) = found else {
-        warn!(entry.logger, "origins: no host knows where a stream began"; "id" => %call.id,
-            "resumes" => %attempt);
-        return refuse(format!("no host knows the version of {service} that began {attempt}"));
+        return refuse(match &call.resumes {
+            Some(_) => format!("no host knows the version of {service} that began {attempt}"),
+            None => "the call does not say which attempt began the stream".to_owned(),
+        });
     };
-    let targets = entry.targets();
-    let mut ready = targets.values().filter(|it| it.status == TargetStatus::Ready);
-    if !ready.any(|it| it.service == *service && it.software == software) {
+    if !has_target(entry, service, &software) {
+        // It may have registered since the last read.
+        software::confirm(entry).await;
+    }
+    if !has_target(entry, service, &software) {
         let version = software.as_ref().map_or("without a version", |it| it.as_str());
         return refuse(format!("no target of {service} runs {version}, which began {attempt}"));
     }
+    // Also where there is one version: a target of another one may register before the call is sent.
     Ok(AllowedSoftware::Only(software))
 }
 
-/// Asks the hosts that may keep a stream's version, all at once, and returns the first answer.
-async fn ask_hosts(entry: &Arc<Entry>, key: u64) -> Option<Software> {
+/// Returns whether a ready target of a service runs a version.
+fn has_target(entry: &Entry, service: &ServiceName, software: &Software) -> bool {
+    let targets = entry.targets();
+    let mut ready = targets.values().filter(|it| it.status == TargetStatus::Ready);
+    ready.any(|it| it.service == *service && it.software == *software)
+}
+
+/// Returns the version that began the stream which a call takes up: what a host knows of the stream, or
+/// the service's only version.
+async fn find_software(entry: &Arc<Entry>, call: &Call, service: &ServiceName) -> Option<Software> {
+    let key = call.resumes.as_ref().map(|it| origin_key(entry, it));
+    if let Some(software) = key.and_then(|it| entry.origins.find(it)) {
+        return Some(software);
+    }
+    if entry.software(service).len() <= 1 {
+        let confirmation = software::confirm(entry).await;
+        let known = entry.software(service);
+        if known.len() <= 1 {
+            if confirmation.is_certain() {
+                return known.into_iter().next();
+            }
+            return confirm_with_hosts(entry, call, service, key, confirmation).await;
+        }
+    }
+    let found = ask_hosts(entry, key?).await;
+    if found.is_none() {
+        warn!(entry.logger, "origins: no host knows where a stream began"; "id" => %call.id);
+    }
+    found
+}
+
+/// Asks other hosts for a service's versions and for the one at which a stream began, as this host counts
+/// one version and cannot be certain that there is no other.
+///
+/// A host that is certain decides. Where none is, as no host reaches the store, a stream goes on if enough
+/// hosts say that they don't know it: a host that had read of a second version has told two of them.
+async fn confirm_with_hosts(
+    entry: &Arc<Entry>,
+    call: &Call,
+    service: &ServiceName,
+    key: Option<u64>,
+    own: Confirmation,
+) -> Option<Software> {
     let view = entry.view();
+    let contacts =
+        replica_contacts(entry, &view, key.unwrap_or_else(|| origin_key(entry, &call.id)));
+    let asked = contacts.len();
+    let request = || PeerRequest::ConfirmSoftware { service: service.clone(), key };
+    let mut replies: FuturesUnordered<_> =
+        contacts.into_iter().map(|to| entry.peers.request(to, request())).collect();
+    let mut known = entry.software(service);
+    let (mut answered, mut is_certain) = (0, false);
+    let collecting = async {
+        while let Some(reply) = replies.next().await {
+            let Ok(PeerReply::Software { origin, software, is_certain: is_certain_there }) = reply
+            else {
+                continue;
+            };
+            if origin.is_some() {
+                return origin;
+            }
+            answered += 1;
+            is_certain |= is_certain_there;
+            if is_certain_there && software.len() == 1 {
+                return software.into_iter().next();
+            }
+            known.extend(software);
+        }
+        None
+    };
+    if let Ok(Some(software)) = timeout(CONFIRM_TIMEOUT, collecting).await {
+        return Some(software);
+    }
+    let quorum = (asked + 1).saturating_sub(REPLICAS).max(1);
+    let is_alone = view.nodes.len() <= 1;
+    let is_enough = quorum <= answered || is_alone && own.is_fresh;
+    info!(entry.logger, "origins: hosts do not know of a second version"; "id" => %call.id,
+        "asked" => asked, "answered" => answered, "is_certain" => is_certain,
+        "software" => ?known, "own" => ?own);
+    let may_decide = is_enough && !is_certain && Certainty::Likely <= own.certainty;
+    if known.len() == 1 && may_decide { known.pop_first() } else { None }
+}
+
+/// Returns the addresses of the hosts that may keep the version of the stream `key`.
+fn replica_contacts(entry: &Entry, view: &ClusterView, key: u64) -> Vec<SocketAddr> {
     let own = &entry.settings.node;
     let hosts = view.live().map(|it| &it.node).filter(|it| *it != own);
     let asked = select_replicas(key, hosts, ASKED_HOSTS);
-    let contacts = asked.into_iter().filter_map(|it| view.get(it)).map(|it| it.contact.peer);
-    let mut replies: FuturesUnordered<_> =
-        contacts.map(|to| entry.peers.request(to, PeerRequest::FindOrigin { key })).collect();
+    asked.into_iter().filter_map(|it| view.get(it)).map(|it| it.contact.peer).collect()
+}
+
+/// Asks the hosts that may keep a stream's version, all at once, and returns the first answer.
+async fn ask_hosts(entry: &Arc<Entry>, key: u64) -> Option<Software> {
+    let contacts = replica_contacts(entry, &entry.view(), key);
+    let request = |to| entry.peers.request(to, PeerRequest::FindOrigin { key });
+    let mut replies: FuturesUnordered<_> = contacts.into_iter().map(request).collect();
     let first = async {
         while let Some(reply) = replies.next().await {
             if let Ok(PeerReply::Origin(Some(software))) = reply {
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -14,7 +14,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use displaydoc::Display;
-use rosethread_types::{NodeName, RequestId, SoftwareVersion};
+use rosethread_types::{NodeName, RequestId, ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -117,6 +117,14 @@
     OpenPath(PathRequest),
     /// Return what the node finds at the address of a target.
     ProbeTarget(PathRequest),
+    /// Return the versions of a service's software after another read of the registry, and the one at
+    /// which a stream began.
+    ConfirmSoftware {
+        /// The service.
+        service: ServiceName,
+        /// The digest of the attempt that brought the first event, if the caller named it.
+        key: Option<u64>,
+    },
 }
 
 impl PeerRequest {
@@ -162,6 +170,15 @@
     NoPath(NoPath),
     /// What the node found at the address of the target.
     Probed(Probe),
+    /// The versions of a service's software.
+    Software {
+        /// The version at which the stream began, if the node knows it.
+        origin: Option<Option<SoftwareVersion>>,
+        /// The versions that the service's targets run, or ran a short time ago.
+        software: Vec<Option<SoftwareVersion>>,
+        /// Whether these were all when the request arrived.
+        is_certain: bool,
+    },
 }
 
 impl PeerReply {
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -21,6 +21,7 @@
     grants, history, paths,
     peers::{PeerReply, PeerRequest, frame_codec},
     shards::{self, NotOwned},
+    software::software_reply,
 };
 
 /// The most replies that are queued for writing on one connection.
@@ -126,6 +127,7 @@
         PeerRequest::ProbeTarget(request) => {
             PeerReply::Probed(paths::answer_probe(entry, &request).await)
         }
+        PeerRequest::ConfirmSoftware { service, key } => software_reply(entry, &service, key).await,
         PeerRequest::OpenPath(_) => {
             PeerReply::Unable("a path needs a connection of its own".to_owned())
         }
--- a/crates/rosethread_entry/tests/peers.rs
+++ b/crates/rosethread_entry/tests/peers.rs
@@ -73,6 +73,17 @@
     assert_eq!(reply, (5, PeerReply::Unable("unknown request".to_owned())));
 }
 
+// Guards against the same where a host asks whether a service has one version of software only: what the
+// last release says is no word on that.
+#[test]
+fn the_last_release_says_that_it_confirms_no_software() {
+    let request = PeerRequest::ConfirmSoftware { service: "svc".parse().unwrap(), key: Some(7) };
+    let expected = [5, 12, 3, b's', b'v', b'c', 1, 7];
+    assert_eq!(postcard::to_stdvec(&(5_u64, request)).unwrap(), expected);
+    let reply = PeerReply::decode(&hex::decode(LAST_RELEASE_UNKNOWN).unwrap()).unwrap();
+    assert_eq!(reply, (5, PeerReply::Unable("unknown request".to_owned())));
+}
+
 #[test]
 fn requests_for_paths_leave_those_of_the_last_release_as_they_were() {
     let request = hex::decode(LAST_RELEASE_FIND_ORIGIN.0).unwrap();
