registry: a part of the changes is not the registry

Cause: the sister of hypothesis 1 of docs/incidents/out-of-step.md. The age of the target list began anew with any answer, and the last commits took that answer for a read of the whole registry.

--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -39,7 +39,11 @@
                     entry.store_regained.notify_waiters();
                 }
                 entry.record_store_response();
+                let has_more = changes.has_more;
                 apply_changes(&entry, changes);
+                if has_more {
+                    continue;
+                }
                 entry.registry_reads.end(number, true);
             }
             Err(error) => {
@@ -93,7 +97,9 @@
         }
         removed.extend(registry.remove_missing(now));
     }
-    entry.record_targets_read(now);
+    if !changes.has_more {
+        entry.record_targets_read(now);
+    }
     publish_targets(entry, &removed);
 }
 
--- a/crates/rosethread_entry/src/origins.rs
+++ b/crates/rosethread_entry/src/origins.rs
@@ -313,11 +313,12 @@
     let quorum = (asked + 1).saturating_sub(REPLICAS).max(1);
     let is_alone = view.nodes.len() <= 1;
     let is_enough = quorum <= answered || is_alone && own.is_fresh;
-    info!(entry.logger, "origins: hosts do not know of a second version"; "id" => %call.id,
-        "asked" => asked, "answered" => answered, "is_certain" => is_certain,
-        "software" => ?known, "own" => ?own);
     let may_decide = is_enough && !is_certain && Certainty::Likely <= own.certainty;
-    if known.len() == 1 && may_decide { known.pop_first() } else { None }
+    let may_go_on = may_decide && known.len() == 1;
+    info!(entry.logger, "origins: no host is certain of a service's only version"; "id" => %call.id,
+        "asked" => asked, "answered" => answered, "software" => ?known, "is_fresh" => own.is_fresh,
+        "certainty" => ?own.certainty, "may_go_on" => may_go_on);
+    if may_go_on { known.pop_first() } else { None }
 }
 
 /// Returns the addresses of the hosts that may keep the version of the stream `key`.
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -37,6 +37,8 @@
     pub registered: Vec<Target>,
     /// Targets whose registration was removed.
     pub removed: Vec<TargetName>,
+    /// Whether there are more changes than the store returns at once, which the next call returns.
+    pub has_more: bool,
 }
 
 /// The source of the target registrations.
