--- a/crates/rosethread_entry/src/control/targets.rs
+++ b/crates/rosethread_entry/src/control/targets.rs
@@ -1,15 +1,12 @@
 //! Keeps the list of registered targets up to date, from the store or, in an outage, from a peer.
 
-use std::{
-    collections::BTreeSet,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use rosethread_platform::SharedLogError;
 use rosethread_runtime::Tick;
 use rosethread_types::{ServiceName, TargetName};
 use slog::{info, warn};
+use tokio::time::{Instant, sleep_until};
 
 use crate::{
     entry::Entry,
@@ -22,6 +19,9 @@
 /// The period at which the registry in the store is read.
 const READ_PERIOD: Duration = Duration::from_millis(700);
 
+/// The minimum time from one read of the registry to the next that calls wait for.
+const MIN_READ_PERIOD: Duration = Duration::from_millis(50);
+
 /// The age of the target list from which this host asks a peer for a newer one.
 const MAX_AGE: Duration = Duration::from_millis(1_000);
 
@@ -30,6 +30,8 @@
     let mut ticks = entry.timer.every(READ_PERIOD);
     let mut was_reachable = true;
     loop {
+        let began = Instant::now();
+        let number = entry.registry_reads.begin();
         match entry.targets_source.fetch_changes().await {
             Ok(changes) => {
                 if !std::mem::replace(&mut was_reachable, true) {
@@ -37,17 +39,28 @@
                     entry.store_regained.notify_waiters();
                 }
                 entry.record_store_response();
+                let has_more = changes.has_more;
                 apply_changes(&entry, changes);
+                if has_more {
+                    continue;
+                }
+                entry.registry_reads.end(number, true);
             }
             Err(error) => {
                 record_failure(&entry, std::mem::replace(&mut was_reachable, false), &error);
+                entry.registry_reads.end(number, false);
                 if MAX_AGE < entry.targets_age() {
                     fetch_from_peer(&entry).await;
                 }
             }
         }
-        if ticks.recv().await != Some(Tick) {
-            return;
+        tokio::select! {
+            tick = ticks.recv() => if tick != Some(Tick) {
+                return;
+            },
+            () = entry.registry_reads.wait_until_wanted() => {
+                sleep_until(began + MIN_READ_PERIOD).await;
+            }
         }
     }
 }
@@ -65,6 +78,9 @@
 fn apply_changes(entry: &Arc<Entry>, changes: TargetChanges) {
     let now = entry.now();
     let mut removed = Vec::new();
+    if changes.is_complete {
+        entry.software_history.record_gap(now);
+    }
     {
         let mut registry = entry.registry.lock().expect("the lock is not poisoned");
         registry.set_unreachable(false, now);
@@ -81,7 +97,9 @@
         }
         removed.extend(registry.remove_missing(now));
     }
-    entry.record_targets_read(now);
+    if !changes.has_more {
+        entry.record_targets_read(now);
+    }
     publish_targets(entry, &removed);
 }
 
@@ -141,12 +159,11 @@
     }
 }
 
-/// Counts the versions that were recorded before this host started as if their targets had just left.
+/// Counts the versions in the record as if their targets had just left.
 pub(super) fn add_recorded(entry: &Arc<Entry>, recorded: &BTreeSet<ServiceSoftware>) {
     let mut registry = entry.registry.lock().expect("the lock is not poisoned");
     registry.add_software(recorded, entry.now());
     publish_software(entry, registry.software(entry.now()));
-    entry.has_software_record.store(true, Ordering::Relaxed);
 }
 
 /// Excludes a target from new calls because it said in a response that it is leaving.
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -39,6 +39,7 @@
 mod routes;
 mod settings;
 mod shards;
+mod software;
 mod stream;
 mod suspects;
 mod turns;
