--- a/crates/rosethread_entry/src/control.rs
+++ b/crates/rosethread_entry/src/control.rs
@@ -16,8 +16,9 @@
 use rosethread_membership::{AuthKeys, DetectorConfig};
 use rosethread_runtime::{MembershipActor, MembershipParts, start_membership};
 
-use crate::entry::Entry;
+use crate::{entry::Entry, shards};
 
+pub(crate) use periodic::program_retention;
 pub(crate) use targets::{exclude_leaving, targets_reply};
 
 /// The period of the failure detector's probes.
@@ -38,6 +39,7 @@
     tasks.spawn_control(software::follow_record(entry.clone()));
     tasks.spawn_control(periodic::update_summary(entry.clone(), members.clone()));
     tasks.spawn(periodic::expire_unused(entry.clone()));
+    tasks.spawn(shards::repeat_claims(entry.clone()));
     members
 }
 
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -78,11 +78,11 @@
     (entry.reloadable().processor * 100.0).clamp(1.0, f64::from(u16::MAX)) as u16
 }
 
-/// Removes turns and program accounts that have not been used for the [`retention`] time.
+/// Removes turns and program accounts that have not been used for the [`program_retention`] time.
 pub(super) async fn expire_unused(entry: Arc<Entry>) {
     let mut ticks = entry.timer.every(EXPIRY_PERIOD);
     while let Some(Tick) = ticks.recv().await {
-        let retention = retention(&entry);
+        let retention = program_retention(&entry);
         let now = entry.now();
         let bytes = entry.turns.expire(now, retention);
         entry.metrics.turn_bytes.set(bytes as i64);
@@ -102,7 +102,7 @@
 
 /// Returns how long unused state of programs stays in memory: twice the longest history time of any
 /// route, and at least [`MIN_RETENTION`].
-fn retention(entry: &Entry) -> Duration {
+pub(crate) fn program_retention(entry: &Entry) -> Duration {
     let routes = entry.routes();
     let histories = routes.hosts.values().flat_map(|it| it.values()).filter_map(|it| it.history);
     histories.max().map_or(MIN_RETENTION, |it| MIN_RETENTION.max(2 * it))
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -26,7 +26,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
 /// The maximum time that a turn waits for the record of a higher ceiling.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The maximum time that a turn waits for the settlement of others in progress before it is refused. A
 /// program may go on with its next turn before the settlement of the last one has arrived.
@@ -164,6 +164,10 @@
     let give_up_at = Instant::now() + SETTLEMENT_TIMEOUT;
     loop {
         let settled = shard.settled.notified();
+        if !shard.is_confirmed(entry) {
+            shard.confirm(entry, index).await?;
+            continue;
+        }
         let verdict = {
             let ended = entry.shards.ended();
             if ended.get(&index).is_some_and(|it| it.contains(ask.grant)) {
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -77,6 +77,9 @@
     last_home: Option<TargetName>,
     /// Whether a turn has already returned tokens to the caller.
     is_underway: bool,
+    /// When the ceiling was last recorded here; zero if only an earlier owner has recorded it.
+    #[serde(skip)]
+    last_recorded: Duration,
     /// When the program last requested or settled a grant.
     #[serde(rename = "used")]
     last_used: Duration,
@@ -171,6 +174,15 @@
         }
     }
 
+    /// Counts with owners of which the log knows nothing any more: it has dropped all claims. A record that
+    /// it still has may be of an owner of the last release, which does not repeat its claim.
+    pub fn add_unknown_owner(&mut self, has_records: bool) {
+        self.earlier_epochs.insert(0);
+        if !has_records {
+            self.bounded_epochs.insert(0);
+        }
+    }
+
     /// Sets the last use of all replayed accounts to `now`, the time of the claim.
     ///
     /// Records do not contain the time of the last use. A program that spent its budget just before
@@ -289,11 +301,40 @@
     }
 
     /// Returns the records of a ceiling of `tokens` for a program, to be appended in this order.
-    pub fn ceiling_records(&self, program: &ProgramLabel, tokens: Tokens) -> Vec<LedgerRecord> {
+    pub fn ceiling_records(&mut self, program: &ProgramLabel, tokens: Tokens) -> Vec<LedgerRecord> {
+        if let Some(account) = self.accounts.get_mut(program) {
+            // A ceiling is recorded for a turn that has just been requested.
+            account.last_recorded = account.last_used;
+        }
         let ceiling = self.ceiling_record(program, tokens);
         self.unrecorded_record(program).into_iter().chain([ceiling]).collect()
     }
 
+    /// Returns the records of the ceilings that were recorded `age` ago or earlier, of programs that were
+    /// used within `idle`; to be appended before the log drops the earlier ones.
+    pub fn aging_records(
+        &mut self,
+        now: Duration,
+        age: Duration,
+        idle: Duration,
+    ) -> Vec<LedgerRecord> {
+        let is_aging = |it: &&mut Account| {
+            it.ceiling != 0 && it.last_recorded + age <= now && now <= it.last_used + idle
+        };
+        let mut programs = Vec::new();
+        for (program, account) in &mut self.accounts {
+            if let Some(account) = Some(account).filter(is_aging) {
+                account.last_recorded = now;
+                programs.push((program.clone(), account.ceiling));
+            }
+        }
+        let records = programs.iter().flat_map(|(program, ceiling)| {
+            let ceiling = self.ceiling_record(program, *ceiling);
+            self.unrecorded_record(program).into_iter().chain([ceiling])
+        });
+        records.collect()
+    }
+
     /// Returns the record that keeps later owners from granting more than the budget to a program that
     /// may have had an unrecorded turn.
     fn unrecorded_record(&self, program: &ProgramLabel) -> Option<LedgerRecord> {
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -6,11 +6,15 @@
 //! the shard if it can serve it, and hands its accounts over if not. See `docs/design/platform.md`.
 
 mod claim;
+mod repeat;
 mod writer;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool, atomic::Ordering},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -34,6 +38,8 @@
 
 use writer::Writer;
 
+pub(crate) use repeat::repeat_claims;
+
 /// The time after a failed claim in which no other claim of the shard starts; without it the claims
 /// of all turns that wait for the shard would overload the log.
 const CLAIM_BACKOFF: Duration = Duration::from_millis(100);
@@ -52,11 +58,34 @@
     /// Set when the log has fenced the shard or its accounts were handed over; shared with the
     /// writer.
     is_lost: Arc<AtomicBool>,
+    /// When the log last took the claim, in milliseconds since the start of the process.
+    claimed_ms: AtomicU64,
+    /// Whether a repetition of the claim is under way.
+    is_repeating: AtomicBool,
     /// Wakes the requests for tokens that wait for a turn of the shard to be settled.
     pub(crate) settled: Notify,
 }
 
 impl Shard {
+    /// Creates a shard whose claim, or whose ledger's transfer, began at `claimed`.
+    fn new(
+        epoch: u64,
+        ledger: Ledger,
+        writer: Option<Writer>,
+        is_lost: Arc<AtomicBool>,
+        claimed: Duration,
+    ) -> Arc<Shard> {
+        Arc::new(Shard {
+            epoch,
+            ledger: Mutex::new(ledger),
+            writer,
+            is_lost,
+            claimed_ms: AtomicU64::new(claimed.as_millis() as u64),
+            is_repeating: AtomicBool::new(false),
+            settled: Notify::new(),
+        })
+    }
+
     pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
         self.ledger.lock().expect("no code panics while it holds a ledger")
     }
@@ -288,8 +317,8 @@
     mut state: OwnedMutexGuard<ClaimState>,
 ) -> Result<Arc<Shard>, NotOwned> {
     // Dropped after the shard is in `owned`, so that `answer_claimant` always sees one of the two.
-    let _guard = ClaimGuard::start(&entry, index);
-    match claim::claim_shard(&entry, index).await {
+    let mut guard = None;
+    match claim::claim_shard(&entry, index, &mut guard).await {
         Ok(shard) => {
             entry.shards.insert(index, shard.clone());
             entry.metrics.claims.inc();
@@ -324,14 +353,15 @@
 
 /// Answers another host that wants to claim a shard.
 ///
-/// This node keeps the shard if it is serving, reaches the log, and owns the shard or is claiming
-/// it; a claim in progress may already be in the log. Otherwise it yields the shard.
+/// This node keeps the shard if it is serving, reaches the log, and owns the shard by a claim that the log
+/// still has, or is claiming it; a claim in progress may already be in the log. Otherwise it yields the
+/// shard.
 pub(crate) fn answer_claimant(entry: &Entry, index: u32) -> PeerReply {
     let can_serve = entry.phase() == Phase::Serving && entry.is_log_reachable();
     // The claim guard is dropped after the shard is in `owned`, so `is_claiming` has to be checked
     // first.
     let is_owner = entry.shards.is_claiming(index)
-        || entry.shards.get(index).is_some_and(|it| it.writer.is_some());
+        || entry.shards.get(index).is_some_and(|it| it.writer.is_some() && it.is_confirmed(entry));
     if can_serve && is_owner {
         return PeerReply::OwnedBy(entry.settings.node.clone());
     }
@@ -403,10 +433,9 @@
     info!(entry.logger, "shards: received a transfer"; "shard" => index, "epoch" => epoch,
         "programs" => ledger.len(), "kept" => is_adopted);
     if is_adopted {
-        let ledger = Mutex::new(ledger);
-        let (is_lost, settled) = (Arc::default(), Notify::new());
-        let shard = Shard { epoch, ledger, writer: None, is_lost, settled };
-        entry.shards.insert(index, Arc::new(shard));
+        // The claim got no older than half of its time at its owner, by a margin that outages do not use up.
+        let claimed = entry.now().saturating_sub(entry.settings.retention() / 2);
+        entry.shards.insert(index, Shard::new(epoch, ledger, None, Arc::default(), claimed));
     }
 }
 
--- a/crates/rosethread_entry/src/shards/claim.rs
+++ b/crates/rosethread_entry/src/shards/claim.rs
@@ -2,22 +2,25 @@
 //! with a higher epoch, replays all records, and appends the claim.
 
 use std::{
-    sync::{Arc, Mutex, atomic::AtomicBool},
+    sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
 
 use bytes::Bytes;
+use futures::future::join_all;
 use rosethread_membership::{NodeState, Status};
 use rosethread_platform::{FencingToken, SharedLogError};
 use rosethread_types::{Incarnation, NodeName};
 use slog::{info, warn};
-use tokio::sync::Notify;
 
 use crate::{
     entry::Entry,
     ledger::{Ledger, LedgerRecord},
     peers::{PeerReply, PeerRequest},
-    shards::{NotOwned, Shard, encode_record, partition, writer::Writer, yield_shard},
+    shards::{
+        ClaimGuard, NotOwned, Shard, YieldedAccounts, encode_record, partition, writer::Writer,
+        yield_shard,
+    },
 };
 
 /// The maximum number of bytes per read of a partition.
@@ -34,18 +37,34 @@
 /// The maximum number of epochs that a claim tries.
 const MAX_EPOCH_ATTEMPTS: u32 = 5;
 
-/// Claims a shard, unless its owner can still serve it.
-pub(super) async fn claim_shard(entry: &Arc<Entry>, index: u32) -> Result<Arc<Shard>, NotOwned> {
+/// Claims a shard, unless its owner can still serve it. Other hosts are told of the claim from when
+/// `guard` is set.
+pub(super) async fn claim_shard<'a>(
+    entry: &'a Arc<Entry>,
+    index: u32,
+    guard: &mut Option<ClaimGuard<'a>>,
+) -> Result<Arc<Shard>, NotOwned> {
     let mut state = PartitionState::default();
     read_to_end(entry, index, &mut state).await?;
     let epoch_before = state.epoch;
     let is_current = entry.shards.get(index).is_some_and(|it| it.epoch == state.epoch);
+    let has_lost_claims = state.owner.is_none() && state.has_expired;
+    let yielded = if has_lost_claims { ask_all_to_yield(entry, index).await? } else { None };
+    // Two hosts that find no claim and ask each other must not take each other for the owner, so the
+    // claim begins after that.
+    *guard = Some(ClaimGuard::start(entry, index));
     let handed_over = match state.owner.clone().filter(|_| !state.is_released && !is_current) {
         Some((owner, run)) => ask_to_yield(entry, index, &owner, run, state.epoch).await?,
         None => Vec::new(),
     };
-    let own_accounts = yield_shard(entry, index).filter(|it| it.epoch == state.epoch);
-    let handed_over = own_accounts.map_or(handed_over, |it| it.records);
+    let own = yield_shard(entry, index);
+    let handed_over = if has_lost_claims {
+        state.ledger.add_unknown_owner(state.records != 0);
+        let newest = own.into_iter().chain(yielded).max_by_key(|it| it.epoch);
+        newest.map_or(handed_over, |it| it.records)
+    } else {
+        own.filter(|it| it.epoch == state.epoch).map_or(handed_over, |it| it.records)
+    };
     let epoch = take_epoch(entry, index, state.epoch).await?;
     read_to_end(entry, index, &mut state).await?;
     // The accounts handed over are out of date if another host has claimed the shard since.
@@ -58,16 +77,16 @@
     let bound = LedgerRecord::Bounded { epoch };
     let records: Vec<Bytes> =
         handed_over.iter().chain([&claim, &bound]).map(encode_record).collect();
+    let claimed = entry.now();
     let offset = append_claim(entry, index, &records, FencingToken { epoch, sequence: 0 }).await?;
     verify_claim(entry, index, offset + handed_over.len() as u64, &claim).await?;
     info!(entry.logger, "shards: claimed"; "shard" => index, "epoch" => epoch,
         "after_epoch" => state.epoch, "former_owner" => state.owner.as_ref().map_or("none", |(it, _)| it.as_str()),
-        "released" => state.is_released, "handed_over" => handed_over.len(), "records" => state.records, "programs" => state.ledger.len());
+        "released" => state.is_released, "expired" => has_lost_claims, "handed_over" => handed_over.len(), "records" => state.records, "programs" => state.ledger.len());
     let is_lost = Arc::new(AtomicBool::new(false));
     let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
     state.ledger.reset_last_used(entry.now());
-    let (ledger, writer, settled) = (Mutex::new(state.ledger), Some(writer), Notify::new());
-    Ok(Arc::new(Shard { epoch, ledger, writer, is_lost, settled }))
+    Ok(Shard::new(epoch, state.ledger, Some(writer), is_lost, claimed))
 }
 
 /// Appends the claim's records, and repeats the append once if the first one got no reply.
@@ -165,6 +184,44 @@
     }
 }
 
+/// Asks all hosts that run for the accounts of a shard whose claims the log has dropped, and returns the
+/// newest. Returns an error if one owns the shard, or may own it and does not reply.
+async fn ask_all_to_yield(
+    entry: &Arc<Entry>,
+    index: u32,
+) -> Result<Option<YieldedAccounts>, NotOwned> {
+    let view = entry.view();
+    let others = view.nodes.values().filter(|it| it.status < Status::Dead);
+    let others = others.filter(|it| it.node != entry.settings.node);
+    let replies = join_all(others.map(async |it| {
+        let request = PeerRequest::Yield { shard: index };
+        (&it.node, entry.peers.request(it.contact.peer, request).await)
+    }));
+    let mut newest: Option<YieldedAccounts> = None;
+    for (node, reply) in replies.await {
+        match reply {
+            Ok(PeerReply::Yielded(yielded)) => {
+                newest = newest.into_iter().chain(yielded).max_by_key(|it| it.epoch);
+            }
+            Ok(PeerReply::OwnedBy(owner)) => {
+                let detail = format!("{owner} owns it, though the log has no claim");
+                return Err(NotOwned { owner: Some(owner), detail });
+            }
+            reply => {
+                let is_running = entry.view().is_running(node);
+                warn!(entry.logger, "shards: a host that may be the owner did not yield";
+                    "shard" => index, "host" => %node, "reply" => ?reply,
+                    "is_running" => is_running);
+                if is_running {
+                    let detail = format!("{node} may own it and does not reply");
+                    return Err(NotOwned { owner: None, detail });
+                }
+            }
+        }
+    }
+    Ok(newest)
+}
+
 /// The state of a shard as replayed from its partition.
 #[derive(Default)]
 struct PartitionState {
@@ -176,6 +233,8 @@
     owner: Option<(NodeName, Incarnation)>,
     /// Whether the last owner has released the shard.
     is_released: bool,
+    /// Whether the log has dropped records of the partition.
+    has_expired: bool,
     /// The number of records replayed.
     records: usize,
     ledger: Ledger,
@@ -193,6 +252,7 @@
         let read = match read {
             Err(SharedLogError::Expired { first }) => {
                 state.next = first;
+                state.has_expired = true;
                 continue;
             }
             read => read?,
