--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -26,7 +26,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
 /// The maximum time that a turn waits for the record of a higher ceiling.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The maximum time that a turn waits for the settlement of others in progress before it is refused. A
 /// program may go on with its next turn before the settlement of the last one has arrived.
@@ -164,6 +164,10 @@
     let give_up_at = Instant::now() + SETTLEMENT_TIMEOUT;
     loop {
         let settled = shard.settled.notified();
+        if !shard.is_confirmed(entry) {
+            shard.confirm(entry, index).await?;
+            continue;
+        }
         let verdict = {
             let ended = entry.shards.ended();
             if ended.get(&index).is_some_and(|it| it.contains(ask.grant)) {
@@ -208,8 +212,8 @@
 
 /// Records a higher ceiling, and waits until it is in the log.
 async fn raise_ceiling(shard: &Shard, ask: &GrantRequest, tokens: u64) -> Result<(), String> {
-    let ceiling = shard.ledger().ceiling_record(&ask.program, tokens);
-    let receiver = shard.record(ceiling);
+    let records = shard.ledger().ceiling_records(&ask.program, tokens);
+    let receiver = shard.record_all(records);
     match timeout(RECORD_TIMEOUT, receiver).await {
         Ok(Ok(true)) => {
             shard.ledger().confirm_ceiling(&ask.program, tokens);
@@ -223,14 +227,14 @@
 
 /// Records in the background the ceiling that the program's next turn will need.
 fn raise_ceiling_ahead(entry: &Arc<Entry>, shard: &Arc<Shard>, ask: &GrantRequest) {
-    let (tokens, ceiling) = {
+    let (tokens, records) = {
         let mut ledger = shard.ledger();
         let Some(tokens) = ledger.plan_ceiling(&ask.program, ask.tokens) else {
             return;
         };
-        (tokens, ledger.ceiling_record(&ask.program, tokens))
+        (tokens, ledger.ceiling_records(&ask.program, tokens))
     };
-    let receiver = shard.record(ceiling);
+    let receiver = shard.record_all(records);
     let (shard, program) = (shard.clone(), ask.program.clone());
     entry.tasks.spawn(async move {
         match receiver.await {
