Conversations outlive the store's records: copies of turns that are needed for longer

Cause: a turn was written to the log once, so a chain lived in the log only as long as its oldest turn; beyond that, only in the memory of processes.

Change: the host that is responsible for a shard copies a turn to a compacted topic as soon as a later turn needs it for longer than its record lives, and drops the copy when nobody may ask for it. A turn's record states when it was written and for how long it is owed, behind what the last release reads. The copies are read where the log leaves a chain incomplete. A host that appends turns does not read them again.

Ruled out: a wrong read after the expiry, and a last turn that has expired: the named turn was found, its ancestors were not. Rejected: whole transcripts in the log, whose cost grows with the square of the length; turns straight into the compacted topic, which the last release would not find.

tests/chains.rs passes None for the new times; what it checks is unchanged.

--- a/crates/rosethread_entry/src/control.rs
+++ b/crates/rosethread_entry/src/control.rs
@@ -16,7 +16,7 @@
 use rosethread_membership::{AuthKeys, DetectorConfig};
 use rosethread_runtime::{MembershipActor, MembershipParts, start_membership};
 
-use crate::entry::Entry;
+use crate::{entry::Entry, history};
 
 pub(crate) use targets::{exclude_leaving, targets_reply};
 
@@ -38,6 +38,7 @@
     tasks.spawn_control(software::follow_record(entry.clone()));
     tasks.spawn_control(periodic::update_summary(entry.clone(), members.clone()));
     tasks.spawn(periodic::expire_unused(entry.clone()));
+    tasks.spawn(history::refresh_chains(entry.clone()));
     members
 }
 
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -103,7 +103,5 @@
 /// Returns how long unused state of programs stays in memory: twice the longest history time of any
 /// route, and at least [`MIN_RETENTION`].
 fn retention(entry: &Entry) -> Duration {
-    let routes = entry.routes();
-    let histories = routes.hosts.values().flat_map(|it| it.values()).filter_map(|it| it.history);
-    histories.max().map_or(MIN_RETENTION, |it| MIN_RETENTION.max(2 * it))
+    MIN_RETENTION.max(2 * entry.routes().longest_history())
 }
--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -5,6 +5,8 @@
 //! a shard caches the turns of the shard's programs. It reads missing turns from the log, so any
 //! host can take over at any time.
 
+mod refresh;
+
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard},
@@ -27,9 +29,11 @@
     pace::WritePacer,
     peers::{PeerError, PeerReply, PeerRequest},
     shards::responsible_for,
-    turns::{FinishedTurn, ShardTurnCache, TurnLookup, turn_records},
+    turns::{FinishedTurn, ShardTurnCache, TurnLookup, TurnTimes, turn_records},
 };
 
+pub(crate) use refresh::refresh_chains;
+
 /// The bytes requested by one read of a partition.
 const READ_BYTES: usize = 1 << 20;
 
@@ -209,20 +213,48 @@
     if let Some(error) = reads.recent_failure(arrived) {
         return PeerReply::Unable(error.to_string());
     }
-    loop {
-        if let Err(error) = read_to_end(entry, shard, &turns).await {
+    match read_transcript(entry, shard, &turns, turn).await {
+        Ok(reply) => {
+            reads.last_failure = None;
+            reply
+        }
+        Err(error) => {
             info!(entry.logger, "history: log read failed"; "shard" => shard, "why" => %error);
             reads.last_failure = Some((Instant::now(), error.clone()));
-            return PeerReply::Unable(error.to_string());
+            PeerReply::Unable(error.to_string())
         }
-        reads.last_failure = None;
-        let mut turns = lock(&turns);
-        match turns.lookup(turn, entry.now()) {
-            TurnLookup::Transcript(text) => return PeerReply::Chain(text),
-            TurnLookup::Incomplete | TurnLookup::NotFound if turns.restart_scan() => (),
-            TurnLookup::Incomplete => return PeerReply::Unable("missing ancestor".to_owned()),
-            TurnLookup::NotFound => return PeerReply::NoTurn,
+    }
+}
+
+/// Reads a turn that is not cached, with its chain, from the log and, if the log may have dropped
+/// some of that, from the copies.
+async fn read_transcript(
+    entry: &Entry,
+    shard: u32,
+    turns: &SharedCache,
+    turn: &RequestId,
+) -> Result<PeerReply, SharedLogError> {
+    let mut has_copies = false;
+    loop {
+        read_to_end(entry, shard, turns).await?;
+        let found = {
+            let mut turns = lock(turns);
+            match turns.lookup(turn, entry.now()) {
+                TurnLookup::Transcript(text) => return Ok(PeerReply::Chain(text)),
+                _ if turns.restart_scan() => continue,
+                found => found,
+            }
+        };
+        let is_expirable = found == TurnLookup::Incomplete || refresh::lifetimes(entry).are_close();
+        if is_expirable && !has_copies {
+            refresh::read_copies(entry, shard, turns).await?;
+            has_copies = true;
+            continue;
         }
+        return Ok(match found {
+            TurnLookup::Incomplete => PeerReply::Unable("missing ancestor".to_owned()),
+            _ => PeerReply::NoTurn,
+        });
     }
 }
 
@@ -255,12 +287,6 @@
     }
 }
 
-/// Adds a turn that has been written to the log to this host's cache.
-fn cache_turn(entry: &Entry, shard: u32, turn: FinishedTurn) {
-    let turns = entry.turns.shard(shard);
-    lock(&turns).insert(turn, entry.now());
-}
-
 /// Writes a finished turn to the log. The end of the answer may be sent once this returns `Ok`.
 ///
 /// The host that is responsible for the shard writes if possible, because it batches the turns of
@@ -325,14 +351,12 @@
     turn: FinishedTurn,
 ) -> Result<(), SharedLogError> {
     let (done, receiver) = oneshot::channel();
-    let pending = PendingTurn { turn: turn.clone(), done };
+    let pending = PendingTurn { turn, done };
     if entry.turns.writer(entry, shard).send(pending).is_err() {
         return Err(SharedLogError::NotExecuted("the writer has ended".to_owned()));
     }
     let ended = || Err(SharedLogError::NotExecuted("the writer has ended".to_owned()));
-    receiver.await.unwrap_or_else(|_| ended())?;
-    cache_turn(entry, shard, turn);
-    Ok(())
+    receiver.await.unwrap_or_else(|_| ended())
 }
 
 /// A turn to be appended, and the channel for the result.
@@ -347,26 +371,44 @@
     shard: u32,
     mut receiver: mpsc::UnboundedReceiver<PendingTurn>,
 ) {
+    let record_bytes = entry.settings.platform.record_bytes;
     let mut pace = WritePacer::new(&entry);
     while let Some(first) = receiver.recv().await {
         pace.wait(&entry).await;
-        let mut waiters = vec![first.done];
-        let mut records = turn_records(&first.turn, entry.settings.platform.record_bytes);
+        let times = TurnTimes {
+            written_ms: entry.clock.now_ms(),
+            keep_ms: entry.routes().longest_history().as_millis() as u64,
+        };
+        let mut records = turn_records(&first.turn, Some(times), record_bytes);
         let mut bytes: usize = records.iter().map(Bytes::len).sum();
+        let mut batch = vec![first];
         while bytes < BATCH_BYTES
             && let Ok(next) = receiver.try_recv()
         {
-            let more = turn_records(&next.turn, entry.settings.platform.record_bytes);
+            let more = turn_records(&next.turn, Some(times), record_bytes);
             bytes += more.iter().map(Bytes::len).sum::<usize>();
             records.extend(more);
-            waiters.push(next.done);
+            batch.push(next);
         }
         entry.metrics.appends.inc();
         // Duplicates of a turn are harmless, so the append needs no fencing.
-        let result = entry.shared_log.append(&partition(shard), &records, None).await.map(drop);
+        let result = entry.shared_log.append(&partition(shard), &records, None).await;
+        let turns = entry.turns.shard(shard);
+        let mut turns = lock(&turns);
+        let mut waiters = Vec::new();
+        for PendingTurn { turn, done } in batch {
+            if result.is_ok() {
+                turns.insert(turn, Some(times), entry.now());
+            }
+            waiters.push(done);
+        }
+        if let Ok(offset) = result {
+            turns.skip_written(offset, records.len() as u64);
+        }
+        drop(turns);
         for done in waiters {
             // The receiver may be gone; that does not undo the append.
-            let _ = done.send(result.clone());
+            let _ = done.send(result.clone().map(drop));
         }
     }
 }
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! [`ports`]. See `docs/design/platform.md`.
 
 mod call;
+mod chains;
 mod choose;
 mod control;
 mod directory;
@@ -43,6 +44,7 @@
 mod turns;
 
 pub use call::{Call, CallResponse, ProgramContext, PromptSize, ResponseBody};
+pub use chains::{ChainPlan, Lifetimes, Now};
 pub use directory::{DirectoryResponse, list_hosts};
 pub use ended_grants::EndedGrants;
 pub use entry::{Entry, EntryDependencies, Phase};
@@ -61,4 +63,4 @@
 };
 pub use shards::YieldedAccounts;
 pub use stream::StreamInterrupted;
-pub use turns::{FinishedTurn, ShardTurnCache, TurnLookup, TurnTree, turn_records};
+pub use turns::{FinishedTurn, ShardTurnCache, TurnLookup, TurnTimes, TurnTree, turn_records};
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -34,6 +34,10 @@
     pub grant_seconds: Histogram,
     /// Number of appends of turns and ledger records to the shared log, including retries.
     pub appends: IntCounter,
+    /// Number of turns that this host copied since they outlive their records in the log.
+    pub copied_turns: IntCounter,
+    /// Number of copies that this host dropped since nobody may ask for them any more.
+    pub dropped_turns: IntCounter,
     /// Number of successful shard claims by this host.
     pub claims: IntCounter,
     /// Number of shards that this host owns.
@@ -122,6 +126,14 @@
                 "Time from the question to a grant.",
             ),
             appends: counter("rosethread_entry_appends_total", "Appends to the shared log."),
+            copied_turns: counter(
+                "rosethread_entry_copied_turns_total",
+                "Turns copied since they outlive their records in the log.",
+            ),
+            dropped_turns: counter(
+                "rosethread_entry_dropped_turns_total",
+                "Copies of turns dropped since nobody may ask for them any more.",
+            ),
             claims: counter("rosethread_entry_claims_total", "Shards claimed."),
             shards: gauge("rosethread_entry_shards", "Shards owned at present."),
             programs: gauge("rosethread_entry_programs", "Programs known at present."),
--- a/crates/rosethread_entry/src/routes.rs
+++ b/crates/rosethread_entry/src/routes.rs
@@ -148,6 +148,12 @@
 }
 
 impl Routes {
+    /// Returns the longest time for which any route owes its turns; zero if none stores turns.
+    pub(crate) fn longest_history(&self) -> Duration {
+        let routes = self.hosts.values().flat_map(|it| it.values());
+        routes.filter_map(|it| it.history).max().unwrap_or_default()
+    }
+
     /// Adds a route; a later one with the same host and prefix replaces an earlier one.
     pub fn add(&mut self, route: Route) {
         let prefixes = self.hosts.entry(route.host.clone()).or_default();
--- a/crates/rosethread_entry/src/turns.rs
+++ b/crates/rosethread_entry/src/turns.rs
@@ -25,23 +25,62 @@
     pub output: Vec<u8>,
 }
 
+impl FinishedTurn {
+    fn size(&self) -> usize {
+        self.input.len() + self.output.len()
+    }
+}
+
+/// When a turn was written, and for how long it is owed; written behind the turn, where hosts of
+/// earlier releases don't look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnTimes {
+    /// The wall-clock time just before the write, in milliseconds since the Unix epoch.
+    pub written_ms: u64,
+    /// The time for which callers may continue the turn, in milliseconds.
+    pub keep_ms: u64,
+}
+
+/// A turn in a [`TurnTree`].
+#[derive(Clone, Debug)]
+pub(crate) struct CachedTurn {
+    pub(crate) turn: FinishedTurn,
+    /// When this host added the turn.
+    pub(crate) added: Duration,
+    pub(crate) last_used: Duration,
+    /// Unknown for a record of an earlier release.
+    pub(crate) times: Option<TurnTimes>,
+    /// Whether the compacted topic holds the turn; see [`crate::chains`].
+    pub(crate) is_copied: bool,
+}
+
 /// Turns indexed by ID, with the time of their last use.
 ///
 /// Times are durations since the start of the process.
 #[derive(Clone, Debug, Default)]
 pub struct TurnTree {
-    turns: BTreeMap<RequestId, (Duration, FinishedTurn)>,
+    pub(crate) turns: BTreeMap<RequestId, CachedTurn>,
     bytes: usize,
 }
 
 impl TurnTree {
     /// Adds a turn, or replaces the one with the same ID; `now` counts as its last use.
-    pub fn insert(&mut self, turn: FinishedTurn, now: Duration) {
-        let added = turn.input.len() + turn.output.len();
-        if let Some((_, old)) = self.turns.insert(turn.id.clone(), (now, turn)) {
-            self.bytes -= old.input.len() + old.output.len();
-        }
-        self.bytes += added;
+    ///
+    /// Of two records of a turn the later one counts, since it lives longer.
+    pub fn insert(&mut self, turn: FinishedTurn, times: Option<TurnTimes>, now: Duration) {
+        self.bytes += turn.size();
+        let id = turn.id.clone();
+        let cached = CachedTurn { turn, added: now, last_used: now, times, is_copied: false };
+        let cached = match self.turns.remove(&id) {
+            Some(old) => {
+                self.bytes -= old.turn.size();
+                let later = |it: &TurnTimes| it.written_ms;
+                let times = old.times.into_iter().chain(times).max_by_key(later);
+                CachedTurn { times, is_copied: old.is_copied, ..cached }
+            }
+            None => cached,
+        };
+        self.turns.insert(id, cached);
     }
 
     /// Returns whether the tree holds the turn `id`.
@@ -57,14 +96,14 @@
         let mut path = Vec::new();
         let mut next = Some(id.clone());
         while let Some(id) = next {
-            let (last_used, turn) = self.turns.get_mut(&id)?;
-            *last_used = now;
-            next = turn.previous.clone();
+            let cached = self.turns.get_mut(&id)?;
+            cached.last_used = now;
+            next = cached.turn.previous.clone();
             path.push(id);
         }
         let mut text = BytesMut::new();
         for id in path.iter().rev() {
-            let (_, turn) = &self.turns[id];
+            let turn = &self.turns[id].turn;
             text.extend_from_slice(&turn.input);
             text.extend_from_slice(&turn.output);
         }
@@ -72,11 +111,17 @@
     }
 
     /// Evicts the turns that have not been used for `ttl`, and returns whether there were any.
+    ///
+    /// Turns in the compacted topic stay twice as long, so that whoever looks after their shard
+    /// still knows them when they have to be dropped there.
     pub fn expire(&mut self, now: Duration, ttl: Duration) -> bool {
         let before = self.turns.len();
-        self.turns.retain(|_, (last_used, _)| now < *last_used + ttl);
-        let bytes = |it: &(Duration, FinishedTurn)| it.1.input.len() + it.1.output.len();
-        self.bytes = self.turns.values().map(bytes).sum();
+        let is_used = |it: &CachedTurn| {
+            let ttl = if it.is_copied { 2 * ttl } else { ttl };
+            now < it.last_used + ttl
+        };
+        self.turns.retain(|_, it| is_used(it));
+        self.bytes = self.turns.values().map(|it| it.turn.size()).sum();
         self.turns.len() < before
     }
 
@@ -98,8 +143,15 @@
 }
 
 /// Encodes a turn as log records of at most `record_bytes` each.
-pub fn turn_records(turn: &FinishedTurn, record_bytes: usize) -> Vec<Bytes> {
-    let bytes = postcard::to_stdvec(turn).expect("a turn serialises");
+pub fn turn_records(
+    turn: &FinishedTurn,
+    times: Option<TurnTimes>,
+    record_bytes: usize,
+) -> Vec<Bytes> {
+    let mut bytes = postcard::to_stdvec(turn).expect("a turn serialises");
+    if let Some(times) = times {
+        bytes = postcard::to_extend(&times, bytes).expect("the times serialise");
+    }
     let room = record_bytes.saturating_sub(FRAGMENT_OVERHEAD).max(1);
     let count = bytes.len().div_ceil(room) as u32;
     let chunks = bytes.chunks(room).enumerate();
@@ -113,6 +165,57 @@
     chunks.map(fragment).map(encode).collect()
 }
 
+/// Puts the records of one turn together.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TurnAssembler {
+    /// The fragments so far of a turn whose last fragment is missing.
+    bytes: Vec<u8>,
+    /// The turn of these fragments, and their number.
+    next: Option<(RequestId, u32)>,
+}
+
+impl TurnAssembler {
+    /// Forgets the fragments so far.
+    fn clear(&mut self) {
+        self.bytes.clear();
+        self.next = None;
+    }
+
+    /// Returns whether no turn is incomplete.
+    fn is_empty(&self) -> bool {
+        self.next.is_none()
+    }
+
+    /// Adds the next record, and returns its turn once that is complete.
+    ///
+    /// A record that does not follow the one before it is skipped, with those after it until the
+    /// next beginning of a turn.
+    pub(crate) fn add(
+        &mut self,
+        data: &[u8],
+    ) -> postcard::Result<Option<(FinishedTurn, Option<TurnTimes>)>> {
+        let fragment: Fragment = postcard::from_bytes(data)?;
+        if fragment.index == 0 {
+            self.clear();
+            self.next = Some((fragment.turn.clone(), 0));
+        }
+        if self.next.as_ref() != Some(&(fragment.turn.clone(), fragment.index)) {
+            self.clear();
+            return Ok(None);
+        }
+        self.bytes.extend_from_slice(&fragment.bytes);
+        self.next = Some((fragment.turn, fragment.index + 1));
+        if fragment.index + 1 < fragment.count {
+            return Ok(None);
+        }
+        let bytes = std::mem::take(&mut self.bytes);
+        self.next = None;
+        let (turn, rest) = postcard::take_from_bytes(&bytes)?;
+        let times = if rest.is_empty() { None } else { Some(postcard::from_bytes(rest)?) };
+        Ok(Some((turn, times)))
+    }
+}
+
 /// The result of looking up a turn in a [`ShardTurnCache`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TurnLookup {
@@ -129,11 +232,10 @@
 /// Times are durations since the start of the process.
 #[derive(Clone, Debug, Default)]
 pub struct ShardTurnCache {
-    tree: TurnTree,
+    pub(crate) tree: TurnTree,
     /// The offset of the first record that has not been read.
     next_offset: u64,
-    /// The fragments read so far of a turn whose last fragment has not been read.
-    partial_turn: Vec<u8>,
+    partial: TurnAssembler,
     /// Whether turns have been evicted since the partition was last read from its start.
     has_evicted: bool,
 }
@@ -159,22 +261,23 @@
         now: Duration,
     ) -> postcard::Result<()> {
         self.next_offset = offset + 1;
-        let fragment: Fragment = postcard::from_bytes(data)?;
-        if fragment.index == 0 {
-            self.partial_turn.clear();
+        if let Some((turn, times)) = self.partial.add(data)? {
+            self.tree.insert(turn, times, now);
         }
-        self.partial_turn.extend_from_slice(&fragment.bytes);
-        if fragment.index + 1 < fragment.count {
-            return Ok(());
-        }
-        let turn = postcard::from_bytes(&std::mem::take(&mut self.partial_turn))?;
-        self.tree.insert(turn, now);
         Ok(())
     }
 
     /// Adds a turn that this host has written to the log; `now` counts as its last use.
-    pub fn insert(&mut self, turn: FinishedTurn, now: Duration) {
-        self.tree.insert(turn, now);
+    pub fn insert(&mut self, turn: FinishedTurn, times: Option<TurnTimes>, now: Duration) {
+        self.tree.insert(turn, times, now);
+    }
+
+    /// Moves the read position behind `count` records that this host has written at `offset`, if
+    /// it has read all records before them; their turns have to be cached.
+    pub fn skip_written(&mut self, offset: u64, count: u64) {
+        if self.next_offset == offset && self.partial.is_empty() {
+            self.next_offset = offset + count;
+        }
     }
 
     /// Looks up all inputs and outputs up to and including the turn `id`.
@@ -203,7 +306,7 @@
             return false;
         }
         self.next_offset = 0;
-        self.partial_turn.clear();
+        self.partial.clear();
         true
     }
 
--- a/crates/rosethread_entry/tests/chains.rs
+++ b/crates/rosethread_entry/tests/chains.rs
@@ -15,10 +15,10 @@
 
 fn tree() -> TurnTree {
     let mut tree = TurnTree::default();
-    tree.insert(turn("a", None, "A", "a\n"), Duration::ZERO);
-    tree.insert(turn("b", Some("a"), "B", "b\n"), Duration::ZERO);
-    tree.insert(turn("c", Some("a"), "C", "c\n"), Duration::ZERO);
-    tree.insert(turn("lost", Some("never-kept"), "L", "l\n"), Duration::ZERO);
+    tree.insert(turn("a", None, "A", "a\n"), None, Duration::ZERO);
+    tree.insert(turn("b", Some("a"), "B", "b\n"), None, Duration::ZERO);
+    tree.insert(turn("c", Some("a"), "C", "c\n"), None, Duration::ZERO);
+    tree.insert(turn("lost", Some("never-kept"), "L", "l\n"), None, Duration::ZERO);
     tree
 }
 
@@ -58,7 +58,7 @@
     let written = chain.into_iter().zip(times);
     let encoded = written.flat_map(|((id, previous), time)| {
         let turn = turn(id, previous, id, "\n");
-        turn_records(&turn, 135).into_iter().map(move |it| (time, it))
+        turn_records(&turn, None, 135).into_iter().map(move |it| (time, it))
     });
     encoded.collect()
 }
@@ -108,7 +108,7 @@
 #[test]
 fn a_turn_with_a_missing_ancestor_is_incomplete() {
     let mut turns = ShardTurnCache::default();
-    turns.insert(turn("b", Some("a"), "B", "b\n"), Duration::ZERO);
+    turns.insert(turn("b", Some("a"), "B", "b\n"), None, Duration::ZERO);
     assert_eq!(turns.lookup(&"b".parse().unwrap(), Duration::ZERO), TurnLookup::Incomplete);
     assert_eq!(turns.lookup(&"a".parse().unwrap(), Duration::ZERO), TurnLookup::NotFound);
 }
--- a/crates/rosethread_platform/src/lib.rs
+++ b/crates/rosethread_platform/src/lib.rs
@@ -17,7 +17,9 @@
 pub use hosts::{HostEntry, HostList, HostState};
 pub use http::{HttpHosts, HttpLog, HttpTargetClient, SseBuffer};
 pub use log::{LogEntry, LogRead, LogService};
-pub use shared_log::{FencingToken, Partition, PartitionRead, SharedLog, SharedLogError};
+pub use shared_log::{
+    FencingToken, KeyedValue, Partition, PartitionRead, SharedLog, SharedLogError,
+};
 pub use target::{
     CacheAction, EngineCommand, EngineEvent, EngineLoad, EngineRequest, EngineStream, EngineUsage,
     ExecutionStatus, ServiceReply, ServiceRequest, TargetAddress, TargetClient,
--- a/crates/rosethread_platform/src/shared_log.rs
+++ b/crates/rosethread_platform/src/shared_log.rs
@@ -41,6 +41,15 @@
     pub entries: Vec<LogEntry>,
 }
 
+/// The newest value of a key in a partition of a compacted topic.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedValue {
+    /// The key.
+    pub key: String,
+    /// The value; an empty one deletes the key.
+    pub value: Bytes,
+}
+
 /// An error of the shared log.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum SharedLogError {
@@ -99,4 +108,18 @@
         max_bytes: usize,
         wait: Duration,
     ) -> Result<PartitionRead, SharedLogError>;
+
+    /// Writes values to a partition of a compacted topic, all or none.
+    ///
+    /// Such a topic keeps the newest value of each key, whatever its age. Its name is one that no
+    /// other topic has.
+    async fn write_values(
+        &self,
+        partition: &Partition,
+        values: &[KeyedValue],
+    ) -> Result<(), SharedLogError>;
+
+    /// Reads the newest value of each key from a partition of a compacted topic; none if nobody has
+    /// written to the topic yet.
+    async fn read_values(&self, partition: &Partition) -> Result<Vec<KeyedValue>, SharedLogError>;
 }
