Copies of turns: a batch ends before a turn that does not fit

A write of copies could exceed what the store takes in one call where a large turn came after small ones; the store refuses the whole write, each time, and the copies of the shard's other conversations would be lost with it. A batch now ends before the turn that makes it too large, and a batch that is refused does not hold up the others.

Test: a_batch_ends_before_a_turn_that_does_not_fit; new with the function that it tests, so it has no run on the code before.

--- a/crates/rosethread_entry/src/chains.rs
+++ b/crates/rosethread_entry/src/chains.rs
@@ -102,21 +102,38 @@
         plan
     }
 
-    /// Returns the values that copy a turn to the compacted topic.
-    pub fn chain_values(&self, id: &RequestId, record_bytes: usize) -> Vec<KeyedValue> {
+    /// Returns the values that copy the first of `ids` to the compacted topic, or drop them there,
+    /// and how many turns that is: as many as fit into `batch_bytes`, but at least one.
+    pub fn chain_batch(
+        &self,
+        ids: &[RequestId],
+        is_copy: bool,
+        record_bytes: usize,
+        batch_bytes: usize,
+    ) -> (usize, Vec<KeyedValue>) {
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        for (id, count) in ids.iter().zip(0..) {
+            let values = self.chain_values(id, is_copy, record_bytes);
+            bytes += values.iter().map(|it| it.key.len() + it.value.len()).sum::<usize>();
+            if count != 0 && batch_bytes < bytes {
+                return (count, batch);
+            }
+            batch.extend(values);
+        }
+        (ids.len(), batch)
+    }
+
+    /// Returns the values that copy a turn to the compacted topic, or drop it there.
+    fn chain_values(&self, id: &RequestId, is_copy: bool, record_bytes: usize) -> Vec<KeyedValue> {
         let Some(cached) = self.tree.turns.get(id) else {
             return Vec::new();
         };
         let room = record_bytes.saturating_sub(KEY_BYTES);
-        let records = turn_records(&cached.turn, cached.times, room);
-        let values = records.into_iter().zip(0..);
-        values.map(|(value, part)| KeyedValue { key: value_key(id, part), value }).collect()
-    }
-
-    /// Returns the values that drop a turn from the compacted topic.
-    pub fn chain_tombstones(&self, id: &RequestId, record_bytes: usize) -> Vec<KeyedValue> {
-        let values = self.chain_values(id, record_bytes).into_iter();
-        values.map(|it| KeyedValue { value: Bytes::new(), ..it }).collect()
+        let records = turn_records(&cached.turn, cached.times, room).into_iter().zip(0..);
+        let value = |record: Bytes| if is_copy { record } else { Bytes::new() };
+        let keyed = |(record, part)| KeyedValue { key: value_key(id, part), value: value(record) };
+        records.map(keyed).collect()
     }
 
     /// Records whether the compacted topic holds a turn.
--- a/crates/rosethread_entry/src/history/refresh.rs
+++ b/crates/rosethread_entry/src/history/refresh.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use rosethread_platform::{KeyedValue, Partition, SharedLogError};
+use rosethread_platform::{Partition, SharedLogError};
 use rosethread_types::{RequestId, StreamName};
 use slog::{info, warn};
 use tokio::time::{Instant, sleep};
@@ -159,34 +159,31 @@
     is_copy: bool,
 ) -> Result<(), SharedLogError> {
     let record_bytes = entry.settings.platform.record_bytes;
-    let mut ids = ids.iter().peekable();
-    while ids.peek().is_some() {
-        let mut values: Vec<KeyedValue> = Vec::new();
-        let mut written = Vec::new();
-        let mut bytes = 0;
-        while bytes < BATCH_BYTES
-            && let Some(id) = ids.next()
-        {
-            let turns = lock(turns);
-            let more = match is_copy {
-                true => turns.chain_values(id, record_bytes),
-                false => turns.chain_tombstones(id, record_bytes),
-            };
-            bytes += more.iter().map(|it| it.key.len() + it.value.len()).sum::<usize>();
-            values.extend(more);
-            written.push(id);
-        }
+    let mut rest = ids;
+    while !rest.is_empty() {
+        let (count, values) = lock(turns).chain_batch(rest, is_copy, record_bytes, BATCH_BYTES);
+        let (batch, later) = rest.split_at(count);
+        rest = later;
         entry.metrics.appends.inc();
-        entry.shared_log.write_values(&partition(shard), &values).await?;
+        match entry.shared_log.write_values(&partition(shard), &values).await {
+            Ok(()) => (),
+            Err(error) if error.is_unavailable() => return Err(error),
+            Err(error) => {
+                // The turns of the other batches have to be copied all the same.
+                warn!(entry.logger, "history: copies were refused"; "shard" => shard,
+                    "turns" => batch.len(), "error" => %error);
+                continue;
+            }
+        }
         let mut turns = lock(turns);
-        for id in &written {
+        for id in batch {
             turns.set_copied(id, is_copy);
         }
         info!(entry.logger, "history: changed the copies"; "shard" => shard, "copied" => is_copy,
-            "turns" => written.len(), "bytes" => bytes);
+            "turns" => batch.len(), "values" => values.len());
         let counter =
             if is_copy { &entry.metrics.copied_turns } else { &entry.metrics.dropped_turns };
-        counter.inc_by(written.len() as u64);
+        counter.inc_by(batch.len() as u64);
     }
     Ok(())
 }
--- a/crates/rosethread_entry/tests/aged_chains.rs
+++ b/crates/rosethread_entry/tests/aged_chains.rs
@@ -8,6 +8,7 @@
     FinishedTurn, Lifetimes, Now, ShardTurnCache, TurnLookup, TurnTimes, turn_records,
 };
 use rosethread_platform::KeyedValue;
+use rosethread_types::RequestId;
 
 /// The wall-clock time at which the model starts.
 const START: Duration = Duration::from_secs(1_000_000);
@@ -82,15 +83,21 @@
     fn refresh(&mut self) {
         let plan = self.host.plan_chains(self.lifetimes, self.at());
         for id in &plan.copy {
-            self.write(self.host.chain_values(id, RECORD_BYTES));
+            self.write(self.change(id, true));
             self.host.set_copied(id, true);
         }
         for id in &plan.drop {
-            self.write(self.host.chain_tombstones(id, RECORD_BYTES));
+            self.write(self.change(id, false));
             self.host.set_copied(id, false);
         }
     }
 
+    /// Returns the values that copy a turn, or drop its copy.
+    fn change(&self, id: &RequestId, is_copy: bool) -> Vec<KeyedValue> {
+        let ids = std::slice::from_ref(id);
+        self.host.chain_batch(ids, is_copy, RECORD_BYTES, 0).1
+    }
+
     fn write(&mut self, values: Vec<KeyedValue>) {
         for KeyedValue { key, value } in values {
             self.copy_bytes += key.len() + value.len();
@@ -315,3 +322,23 @@
     assert_eq!(turns.size().0, 1);
     assert_eq!(turns.lookup(&turn(1, "").id, Duration::ZERO), TurnLookup::Incomplete);
 }
+
+// Guards against chains that are lost since a large turn made the write of all others too large.
+#[test]
+fn a_batch_ends_before_a_turn_that_does_not_fit() {
+    let mut shard = Shard::new(secs(60), secs(60));
+    for number in [0, 1] {
+        shard.host.insert(turn(number, "small"), None, shard.now);
+    }
+    shard.host.insert(turn(2, &"x".repeat(5_000)), None, shard.now);
+    let ids: Vec<RequestId> = [0, 1, 2, 1].map(|it| turn(it, "").id).into();
+    let mut counts = Vec::new();
+    let mut rest = &ids[..];
+    while !rest.is_empty() {
+        let (count, values) = shard.host.chain_batch(rest, true, RECORD_BYTES, 2_000);
+        assert!(!values.is_empty());
+        counts.push(count);
+        rest = &rest[count..];
+    }
+    assert_eq!(counts, [2, 1, 1]);
+}
