Copies of turns are read again only after records were missed

A turn is in the log when it is copied, so copies are missed only where records are. The cache notes that, and what another host dropped counts as copied no longer.

Test: copies_are_read_again_only_after_records_were_missed, for a function that is new.

--- a/crates/rosethread_entry/src/chains.rs
+++ b/crates/rosethread_entry/src/chains.rs
@@ -148,6 +148,9 @@
     ///
     /// A turn of which a part is missing was dropped meanwhile.
     pub fn apply_values(&mut self, values: &[KeyedValue], now: Duration) -> usize {
+        self.has_copies = true;
+        // Another host may have dropped copies that this one knew.
+        self.tree.turns.values_mut().for_each(|it| it.is_copied = false);
         let mut assembler = TurnAssembler::default();
         let mut failures = 0;
         let mut values: Vec<&KeyedValue> = values.iter().collect();
--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -234,21 +234,19 @@
     turns: &SharedCache,
     turn: &RequestId,
 ) -> Result<PeerReply, SharedLogError> {
-    let mut has_copies = false;
     loop {
         read_to_end(entry, shard, turns).await?;
-        let found = {
+        let (found, has_copies) = {
             let mut turns = lock(turns);
             match turns.lookup(turn, entry.now()) {
                 TurnLookup::Transcript(text) => return Ok(PeerReply::Chain(text)),
                 _ if turns.restart_scan() => continue,
-                found => found,
+                found => (found, turns.has_copies()),
             }
         };
         let is_expirable = found == TurnLookup::Incomplete || refresh::lifetimes(entry).are_close();
         if is_expirable && !has_copies {
             refresh::read_copies(entry, shard, turns).await?;
-            has_copies = true;
             continue;
         }
         return Ok(match found {
--- a/crates/rosethread_entry/src/history/refresh.rs
+++ b/crates/rosethread_entry/src/history/refresh.rs
@@ -126,9 +126,12 @@
     let _reading = read_lock.lock().await;
     if has_gap {
         lock(turns).restart_scan();
+    }
+    read_to_end(entry, shard, turns).await?;
+    if has_gap {
         read_copies(entry, shard, turns).await?;
     }
-    read_to_end(entry, shard, turns).await
+    Ok(())
 }
 
 /// Adds the copied turns of a shard to the cache.
@@ -138,11 +141,10 @@
     turns: &SharedCache,
 ) -> Result<(), SharedLogError> {
     let values = entry.shared_log.read_values(&partition(shard)).await?;
-    if values.is_empty() {
-        return Ok(());
-    }
     let failures = lock(turns).apply_values(&values, entry.now());
-    info!(entry.logger, "history: read the copies"; "shard" => shard, "values" => values.len());
+    if !values.is_empty() {
+        info!(entry.logger, "history: read the copies"; "shard" => shard, "values" => values.len());
+    }
     if failures != 0 {
         warn!(entry.logger, "history: could not decode copies of turns"; "shard" => shard,
             "values" => failures);
--- a/crates/rosethread_entry/src/turns.rs
+++ b/crates/rosethread_entry/src/turns.rs
@@ -238,6 +238,7 @@
     partial: TurnAssembler,
     /// Whether turns have been evicted since the partition was last read from its start.
     has_evicted: bool,
+    pub(crate) has_copies: bool,
 }
 
 impl ShardTurnCache {
@@ -249,6 +250,14 @@
     /// Moves the read position to `first`, since the log no longer holds earlier records.
     pub fn skip_to(&mut self, first: u64) {
         self.next_offset = first;
+        self.has_copies = false;
+    }
+
+    /// Returns whether the copies of all turns that are neither cached nor in the log were read.
+    ///
+    /// A turn is in the log when it is copied, so copies are missed only where records are.
+    pub fn has_copies(&self) -> bool {
+        self.has_copies
     }
 
     /// Applies the record that was read at `offset`, and adds its turn once that is complete.
@@ -306,6 +315,7 @@
             return false;
         }
         self.next_offset = 0;
+        self.has_copies = false;
         self.partial.clear();
         true
     }
--- a/crates/rosethread_entry/tests/aged_chains.rs
+++ b/crates/rosethread_entry/tests/aged_chains.rs
@@ -342,3 +342,20 @@
     }
     assert_eq!(counts, [2, 1, 1]);
 }
+
+// Guards against reading all copies for each turn that is not found, which kept hosts from replying in
+// time after the loss of all hosts.
+#[test]
+fn copies_are_read_again_only_after_records_were_missed() {
+    let mut turns = ShardTurnCache::default();
+    assert!(!turns.has_copies(), "nothing was read yet");
+    turns.apply_values(&[], Duration::ZERO);
+    assert!(turns.has_copies());
+    turns.skip_to(7);
+    assert!(!turns.has_copies(), "the records before 7 were missed");
+    turns.apply_values(&[], Duration::ZERO);
+    turns.insert(turn(0, "input "), None, Duration::ZERO);
+    turns.expire(secs(60), secs(60));
+    assert!(turns.has_copies() && turns.restart_scan());
+    assert!(!turns.has_copies(), "a turn was evicted");
+}
