--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! [`ports`]. See `docs/design/platform.md`.
 
 mod call;
+mod chains;
 mod choose;
 mod connections;
 mod control;
@@ -45,6 +46,7 @@
 mod turns;
 
 pub use call::{Call, CallResponse, ProgramContext, PromptSize, ResponseBody};
+pub use chains::{ChainPlan, Lifetimes, Now};
 pub use connections::{CallerConnection, ExchangeStage};
 pub use directory::{DirectoryResponse, list_hosts};
 pub use ended_grants::EndedGrants;
@@ -64,4 +66,4 @@
 };
 pub use shards::YieldedAccounts;
 pub use stream::StreamInterrupted;
-pub use turns::{FinishedTurn, ShardTurnCache, TurnLookup, TurnTree, turn_records};
+pub use turns::{FinishedTurn, ShardTurnCache, TurnLookup, TurnTimes, TurnTree, turn_records};
