Don't send a call late, and say that it was not run, where a host ends before it is sent

What callers saw: a call that waited for its history or grant as the signal came was sent to a target just before the cutoff, ran and got 502; one that was never sent got 502 as well, which tells the caller of an unsafe call nothing. Cause: the time left was asked once, before the waits, and the end of a host did not know whether a call was sent. It is now asked before each send that no possible run precedes, and a call in preparation at the cutoff is refused as not run.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -23,6 +23,8 @@
 pub(crate) use dispatch::{Attempts, Dispatched, dispatch};
 pub(crate) use prepare::PreparedCall;
 
+use prepare::OTHER_HOST_RETRY;
+
 /// Size limit of a response that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
 
@@ -118,12 +120,7 @@
     pub async fn serve(self: &Arc<Entry>, call: Call) -> Result<CallResponse, Refusal> {
         let _guard = self.count_call();
         let mut log_guard = CallLogGuard::new(self, &call);
-        let is_repeatable = log_guard.is_repeatable;
-        let result = tokio::select! {
-            biased;
-            result = run_call(self, call) => result,
-            () = self.wait_for_cutoff() => Err(cutoff_refusal(is_repeatable)),
-        };
+        let result = run_call(self, call).await;
         log_guard.is_finished = true;
         if let Err(refusal) = &result {
             log_guard.log_refusal(refusal);
@@ -143,22 +140,19 @@
     previous: Option<RequestId>,
     route: Arc<str>,
     arrived: Instant,
-    is_repeatable: bool,
     is_finished: bool,
 }
 
 impl CallLogGuard {
     fn new(entry: &Arc<Entry>, call: &Call) -> CallLogGuard {
         let path = call.path.split('?').next().unwrap_or_default();
-        let routes = entry.routes();
-        let route = routes.find(&call.host, path);
+        let route = entry.routes().find(&call.host, path).map(|it| it.name.clone());
         CallLogGuard {
             entry: entry.clone(),
             id: call.id.clone(),
             program: call.program.as_ref().map(|it| it.program.clone()),
             previous: call.previous.clone(),
-            route: route.map(|it| it.name.clone()).unwrap_or_default(),
-            is_repeatable: route.is_some_and(|it| it.is_repeatable()),
+            route: route.unwrap_or_default(),
             arrived: call.arrived,
             is_finished: false,
         }
@@ -202,10 +196,27 @@
     }
 }
 
-/// Prepares and dispatches a call, and retries it if a buffered response breaks off.
+/// Prepares and dispatches a call, unless this host has to end before.
 async fn run_call(entry: &Arc<Entry>, call: Call) -> Result<CallResponse, Refusal> {
     suspects::refuse_deadly(entry, &call)?;
-    let prepared = Arc::new(PreparedCall::prepare(entry, call).await?);
+    let prepared = tokio::select! {
+        biased;
+        prepared = PreparedCall::prepare(entry, call) => Arc::new(prepared?),
+        () = entry.wait_for_cutoff() => return Err(leaving_refusal("this host stops".to_owned())),
+    };
+    let is_repeatable = prepared.route.is_repeatable();
+    tokio::select! {
+        biased;
+        result = dispatch_call(entry, prepared) => result,
+        () = entry.wait_for_cutoff() => Err(cutoff_refusal(is_repeatable)),
+    }
+}
+
+/// Dispatches a call, and retries it if a buffered response breaks off.
+async fn dispatch_call(
+    entry: &Arc<Entry>,
+    prepared: Arc<PreparedCall>,
+) -> Result<CallResponse, Refusal> {
     entry.loads.observe_prompt(&prepared.service, &prepared.call, entry.now());
     let mut attempts = Attempts::default();
     loop {
@@ -270,7 +281,12 @@
     }
 }
 
-/// Builds the refusal of a call that is in progress when this host has to end.
+/// Builds the refusal of a call that has not been sent and that this host may not live to answer.
+fn leaving_refusal(detail: String) -> Refusal {
+    Refusal::not_run(Reason::Leaving, detail).retry_after(OTHER_HOST_RETRY)
+}
+
+/// Builds the refusal of a call that may be running at a target when this host has to end.
 pub(crate) fn cutoff_refusal(is_repeatable: bool) -> Refusal {
     uncertain_refusal(is_repeatable, Reason::Leaving, "this host stops".to_owned())
 }
--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -7,7 +7,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use crate::{
-    call::{PreparedCall, uncertain_refusal},
+    call::{PreparedCall, prepare::refuse_beyond_end, uncertain_refusal},
     choose::{Estimate, select_target},
     control::exclude_leaving,
     entry::Entry,
@@ -121,6 +121,10 @@
             let detail = "the deadline passed before a target responded".to_owned();
             return Err(attempts.refuse(prepared, Reason::DeadlineExceeded, detail));
         }
+        if attempts.possible_runs == 0 {
+            // The host may have begun to shut down since the call arrived.
+            refuse_beyond_end(entry, prepared.deadline)?;
+        }
         if let Err(refusal) = suspects::refuse_deadly(entry, &prepared.call) {
             if attempts.possible_runs == 0 {
                 return Err(refusal);
--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    call::{Attempts, Call, ProgramContext},
+    call::{Attempts, Call, ProgramContext, leaving_refusal},
     choose::overload,
     entry::Entry,
     grants::{self, AskedHosts},
@@ -31,7 +31,7 @@
 const UNCERTAIN_RETRY: Duration = Duration::from_millis(500);
 
 /// Retry delay sent to callers when another host can probably serve them at once.
-const OTHER_HOST_RETRY: Duration = Duration::from_millis(20);
+pub(super) const OTHER_HOST_RETRY: Duration = Duration::from_millis(20);
 
 /// The time after the deadline of a call within which its answer has been sent.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
@@ -197,7 +197,7 @@
 
 /// Refuses a call whose deadline lies beyond the end of this host, which is shutting down. It might be
 /// cut off, and a caller whose call may not run twice would never know whether it did.
-fn refuse_beyond_end(entry: &Entry, deadline: Instant) -> Result<(), Refusal> {
+pub(super) fn refuse_beyond_end(entry: &Entry, deadline: Instant) -> Result<(), Refusal> {
     let Some(cutoff) = entry.cutoff().filter(|it| *it < deadline + ANSWER_TIME) else {
         return Ok(());
     };
@@ -209,7 +209,7 @@
         left.as_millis(),
         needed.as_millis()
     );
-    Err(Refusal::not_run(Reason::Leaving, detail).retry_after(OTHER_HOST_RETRY))
+    Err(leaving_refusal(detail))
 }
 
 /// Refuses a new program with stored turns if an outage of the log is expected to outlast it.
