--- a/crates/rosethread_entry/src/connections.rs
+++ b/crates/rosethread_entry/src/connections.rs
@@ -52,6 +52,8 @@
     /// When the stage began.
     since: Instant,
     request: Option<RequestId>,
+    /// Whether the request is answered although its body has not been read whole.
+    is_body_unread: bool,
 }
 
 /// One connection of a caller; it counts as open until this is dropped.
@@ -89,9 +91,23 @@
         }
     }
 
-    /// Records the identifier of the request, which is in its head.
-    pub fn set_request(&self, request: Option<RequestId>) {
-        self.lock().request = request;
+    /// Records that the head of a request has been read, with its identifier.
+    pub fn begin_request(&self, request: Option<RequestId>) {
+        self.set_stage(ExchangeStage::ReadingBody);
+        let mut exchange = self.lock();
+        exchange.request = request;
+        exchange.is_body_unread = true;
+    }
+
+    /// Records that the body of the request has been read whole.
+    pub fn end_request(&self) {
+        self.lock().is_body_unread = false;
+        self.set_stage(ExchangeStage::Serving);
+    }
+
+    /// Returns whether the last request has been answered although its body has not been read whole.
+    pub fn is_body_unread(&self) -> bool {
+        self.lock().is_body_unread
     }
 }
 
@@ -112,8 +128,12 @@
     /// Adds a connection that a caller has just opened.
     pub(crate) fn open(&self) -> CallerConnection {
         let key = self.next_key.fetch_add(1, Ordering::Relaxed);
-        let exchange =
-            Exchange { stage: ExchangeStage::Idle, since: Instant::now(), request: None };
+        let exchange = Exchange {
+            stage: ExchangeStage::Idle,
+            since: Instant::now(),
+            request: None,
+            is_body_unread: false,
+        };
         let exchange = Arc::new(Mutex::new(exchange));
         lock(&self.exchanges).insert(key, exchange.clone());
         CallerConnection { key, exchange, open: self.clone() }
@@ -124,14 +144,14 @@
         lock(&self.exchanges).len()
     }
 
-    /// Returns the exchanges that have begun and not ended.
-    pub(crate) fn unfinished(&self) -> Vec<ExchangeState> {
+    /// Returns the exchanges whose request has begun, and whose answer has not been sent whole.
+    pub(crate) fn unanswered(&self) -> impl Iterator<Item = ExchangeState> {
         let exchanges: Vec<_> = lock(&self.exchanges).values().cloned().collect();
-        let states = exchanges.iter().map(|it| {
-            let Exchange { stage, since, request } = &*lock(it);
+        let states = exchanges.into_iter().map(|it| {
+            let Exchange { stage, since, request, .. } = &*lock(&it);
             ExchangeState { stage: *stage, age: since.elapsed(), request: request.clone() }
         });
-        states.filter(|it| it.stage != ExchangeStage::Idle).collect()
+        states.filter(|it| ExchangeStage::Idle < it.stage && it.stage < ExchangeStage::Sent)
     }
 }
 
--- a/crates/rosethread_entry/src/life.rs
+++ b/crates/rosethread_entry/src/life.rs
@@ -19,7 +19,10 @@
 
 /// The end of the grace period that is left for the process to end in: to send its last answers and
 /// reports, and to close its connections. A slow host takes a part of it.
-const EXIT_TIME: Duration = Duration::from_millis(400);
+const EXIT_TIME: Duration = Duration::from_millis(800);
+
+/// The last part of [`EXIT_TIME`], in which the process ends whatever its callers still wait for.
+const CLOSE_TIME: Duration = Duration::from_millis(250);
 
 /// The period of the polls for open connections and calls in progress.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
@@ -84,14 +87,19 @@
         let entry = &self.entry;
         tokio::time::sleep_until(self.drain_start + grace(entry).mul_f64(ANSWERING_FRACTION)).await;
         entry.phase.send_replace(Phase::Closing);
-        let (connections, unfinished) = (entry.connections.count(), entry.connections.unfinished());
+        let connections = entry.connections.count();
+        let unanswered = entry.connections.unanswered().count();
         info!(entry.logger, "entry: closing"; "connections" => connections,
-            "unfinished" => unfinished.len(), "calls" => entry.active_calls.load(Ordering::Relaxed));
+            "unanswered" => unanswered, "calls" => entry.active_calls.load(Ordering::Relaxed));
         let cutoff = entry.cutoff().unwrap_or(self.drain_start);
         while is_busy(entry) && Instant::now() < cutoff {
             sleep(POLL_PERIOD).await;
         }
         entry.phase.send_replace(Phase::Stopped);
+        let end = self.drain_start + grace(entry).saturating_sub(CLOSE_TIME);
+        while entry.connections.unanswered().next().is_some() && Instant::now() < end {
+            sleep(POLL_PERIOD).await;
+        }
         log_stop(entry, self.drain_start);
         EntryNode {
             entry: self.entry,
@@ -137,13 +145,13 @@
 
 /// Logs what the host ends: each exchange that has begun and not ended, and their number.
 fn log_stop(entry: &Entry, drain_start: Instant) {
-    let unfinished = entry.connections.unfinished();
-    for it in unfinished.iter().take(MAX_LOGGED_EXCHANGES) {
+    let unanswered: Vec<_> = entry.connections.unanswered().collect();
+    for it in unanswered.iter().take(MAX_LOGGED_EXCHANGES) {
         let id = it.request.as_ref().map_or("", |it| it.as_str());
         warn!(entry.logger, "entry: an exchange is cut off"; "id" => id, "stage" => ?it.stage,
             "stage_ms" => it.age.as_millis() as u64);
     }
-    info!(entry.logger, "entry: stopped"; "exchanges_cut" => unfinished.len(),
+    info!(entry.logger, "entry: stopped"; "exchanges_cut" => unanswered.len(),
         "calls_cut" => entry.active_calls.load(Ordering::Relaxed),
         "connections" => entry.connections.count(),
         "drain_ms" => drain_start.elapsed().as_millis() as u64);
