Bytes that are no event never reach the caller of a stream

Cause: `EventBuffer` took each block of bytes up to an empty line for an event. The check of the next target's head (status, signature, type) held, so an error inside a body came through: in a response that ends with its connection, in chunks, or from the target that takes a stream up.

Why it works: a block is an event if each line is a comment or a field, one of them of the standard; what has white space where a field's name is due, or a field of a response's head, is not. The stream then counts as broken off: another target takes it up where it may be resumed, else it is interrupted. Fields that the standard doesn't know are accepted beside those that it does, as it asks.

--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -51,7 +51,7 @@
 pub use directory::{DirectoryResponse, list_hosts};
 pub use ended_grants::EndedGrants;
 pub use entry::{Entry, EntryDependencies, Phase};
-pub use events::{Event, EventBuffer, EventTooLarge};
+pub use events::{Event, EventBuffer, EventTooLarge, NoEvent};
 pub use fingerprint::Fingerprint;
 pub use ledger::{GrantId, GrantRequest, Ledger, LedgerRecord, Settlement, Verdict};
 pub use life::{Draining, EntryNode, Serving, Stopped};
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -187,14 +187,21 @@
     /// Fails over to another target if the current one breaks off.
     async fn next_event(&mut self) -> Result<Option<Event>, Refusal> {
         loop {
-            if let Some(event) = self.buffer.next_event() {
-                self.dispatched.in_flight.record_event();
-                // A target that resumes the stream may repeat events that the caller already has.
-                let is_duplicate = event.id.is_some() && event.id <= self.last_id;
-                if is_duplicate {
+            match self.buffer.next_event() {
+                Ok(Some(event)) => {
+                    self.dispatched.in_flight.record_event();
+                    // A target that resumes the stream may repeat events that the caller already has.
+                    let is_duplicate = event.id.is_some() && event.id <= self.last_id;
+                    if is_duplicate {
+                        continue;
+                    }
+                    return Ok(Some(event));
+                }
+                Ok(None) => (),
+                Err(error) => {
+                    self.fail_over(&error.to_string()).await?;
                     continue;
                 }
-                return Ok(Some(event));
             }
             let chunk =
                 timeout_at(self.prepared.deadline, self.dispatched.response.body.next()).await;
--- a/crates/rosethread_entry/tests/events.rs
+++ b/crates/rosethread_entry/tests/events.rs
@@ -8,7 +8,7 @@
     let mut events = Vec::new();
     for chunk in chunks {
         buffer.push(chunk).unwrap();
-        while let Some(event) = buffer.next_event() {
+        while let Some(event) = buffer.next_event().unwrap() {
             events.push((event.id, String::from_utf8(event.data.to_vec()).unwrap()));
         }
     }
@@ -31,9 +31,45 @@
     an_event_without_data: ("id: 3\n\n", &[(Some(3), "")], false);
     an_incomplete_event: ("id: 1\ndata: a\n\nid: 2\nda", &[(Some(1), "a")], true);
     an_id_that_is_not_a_number: ("id: x\ndata: a\n\n", &[(None, "a")], false);
+    an_unknown_field_beside_others:
+        ("weight-versions: 3\nid: 4\ndata: a\n\n", &[(Some(4), "a")], false);
+    a_field_without_a_colon: ("id: 5\ndata\n\n", &[(Some(5), "")], false);
     a_comment: (": ping\n\ndata: a\n\n", &[(None, ""), (None, "a")], false);
 });
 
+/// Checks bytes that are no event, behind one that is.
+fn check_no_event(bytes: &str) {
+    let text = format!("id: 1\ndata: a\n\n{bytes}");
+    for size in [1, text.len()] {
+        let mut buffer = EventBuffer::default();
+        let (mut events, mut errors) = (0, 0);
+        for chunk in text.as_bytes().chunks(size) {
+            buffer.push(chunk).unwrap();
+            loop {
+                match buffer.next_event() {
+                    Ok(Some(_)) => events += 1,
+                    Ok(None) => break,
+                    Err(_) => errors += 1,
+                }
+            }
+        }
+        assert_eq!((events, errors), (1, 1), "in chunks of {size} bytes");
+    }
+}
+
+rosethread_cases::cases!(check_no_event {
+    // Guards against what a target in trouble writes into a stream being forwarded as an event.
+    text: ("upstream failed\n\n");
+    text_before_a_field: ("upstream failed\ndata: a\n\n");
+    json: ("{\"error\":\"upstream failed\"}\n\n");
+    a_word: ("failed\n\n");
+    an_unknown_field_alone: ("error: failed\n\n");
+    the_head_of_a_response: ("HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n");
+    a_head_inside_an_event: ("id: 2\ndata: HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n");
+    the_end_of_chunks: ("0\r\n\r\n");
+    bytes_that_are_no_text: ("\u{1}\u{2}\n\n");
+});
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(3),
@@ -60,7 +96,7 @@
             let (head, tail) = rest.split_at((*chunk_sizes.next().unwrap()).min(rest.len()));
             rest = tail;
             buffer.push(head).unwrap();
-            while let Some(event) = buffer.next_event() {
+            while let Some(event) = buffer.next_event().unwrap() {
                 parsed_data.push(String::from_utf8(event.data.to_vec()).unwrap());
                 bytes.extend_from_slice(&event.bytes);
             }
