The end of a stream is stated by its relay, not inferred

Cause: the body of the answer took the end of the channel for the end of the stream, and a channel ends whichever way its sender goes.

Why it works: the channel carries an item for the end, sent once the turn has been stored; a channel that closes without it is an error, and the connection is cut before its last chunk.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -11,12 +11,12 @@
     Outcome, ProgramLabel, PromptPart, Reason, Refusal, RequestId, SessionLabel, Tokens,
 };
 use slog::info;
-use tokio::{sync::mpsc, time::Instant};
+use tokio::time::Instant;
 
 use crate::{
     entry::Entry,
     ports::TargetResponse,
-    stream::{self, StreamInterrupted},
+    stream::{self, EventReceiver},
     suspects,
 };
 
@@ -109,8 +109,8 @@
 pub enum ResponseBody {
     /// The complete body.
     Buffered(Bytes),
-    /// Server-sent events as they arrive; an error means that the stream has ended early.
-    Stream(mpsc::Receiver<Result<Bytes, StreamInterrupted>>),
+    /// Server-sent events as they arrive.
+    Stream(EventReceiver),
 }
 
 impl Entry {
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -65,5 +65,5 @@
     EntryAddresses, EntrySettings, PlatformSettings, ReloadableSettings, TimeLimits,
 };
 pub use shards::YieldedAccounts;
-pub use stream::StreamInterrupted;
+pub use stream::{EventReceiver, StreamInterrupted};
 pub use turns::{FinishedTurn, ShardTurnCache, TurnLookup, TurnTimes, TurnTree, turn_records};
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -31,6 +31,37 @@
 
 impl std::error::Error for StreamInterrupted {}
 
+/// What the relay of a stream hands to the caller's side.
+#[derive(Debug)]
+enum StreamItem {
+    /// The bytes of an event.
+    Event(Bytes),
+    /// The stream is complete.
+    End,
+    /// The stream has ended early.
+    Interrupted(StreamInterrupted),
+}
+
+/// The events of one stream as they arrive.
+///
+/// The end of a stream is stated. A relay that is dropped, as by a panic or the end of its runtime, has
+/// interrupted the stream.
+#[derive(Debug)]
+pub struct EventReceiver(mpsc::Receiver<StreamItem>);
+
+impl EventReceiver {
+    /// Waits for the next event, and returns `None` at the end of a complete stream. An error means that
+    /// the stream has ended early.
+    pub async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
+        match self.0.recv().await {
+            Some(StreamItem::Event(bytes)) => Some(Ok(bytes)),
+            Some(StreamItem::End) => None,
+            Some(StreamItem::Interrupted(error)) => Some(Err(error)),
+            None => Some(Err(StreamInterrupted("its relay has ended".to_owned()))),
+        }
+    }
+}
+
 /// Waits for the first event, then starts a task that forwards the stream.
 ///
 /// A target that fails before its first event is thus replaced before the caller gets a response.
@@ -49,7 +80,7 @@
     relay.first_latency = Some(prepared.call.arrived.elapsed());
     let (sender, receiver) = mpsc::channel(CALLER_BUFFER_EVENTS);
     prepared.entry.clone().tasks.spawn(relay.run(first_event, sender));
-    Ok(CallResponse { status, headers, body: ResponseBody::Stream(receiver) })
+    Ok(CallResponse { status, headers, body: ResponseBody::Stream(EventReceiver(receiver)) })
 }
 
 /// Forwards one stream from its targets to the caller.
@@ -97,11 +128,7 @@
     }
 
     /// Forwards all events, stores the turn before the caller sees the end, and logs the outcome.
-    async fn run(
-        mut self,
-        first_event: Option<Event>,
-        sender: mpsc::Sender<Result<Bytes, StreamInterrupted>>,
-    ) {
+    async fn run(mut self, first_event: Option<Event>, sender: mpsc::Sender<StreamItem>) {
         let _guard = self.prepared.entry.count_call();
         let entry = self.prepared.entry.clone();
         let outcome = tokio::select! {
@@ -114,7 +141,7 @@
             Err(refusal) => {
                 let interrupted = StreamInterrupted(refusal.detail.clone());
                 // Sending fails only if the caller has disconnected.
-                let _ = sender.send(Err(interrupted)).await;
+                let _ = sender.send(StreamItem::Interrupted(interrupted)).await;
                 info!(self.prepared.entry.logger, "call: interrupted";
                     "id" => %self.prepared.call.id, "reason" => refusal.reason.code(),
                     "detail" => &refusal.detail);
@@ -134,13 +161,13 @@
     async fn forward_events(
         &mut self,
         first_event: Option<Event>,
-        sender: &mpsc::Sender<Result<Bytes, StreamInterrupted>>,
+        sender: &mpsc::Sender<StreamItem>,
     ) -> Result<&'static str, Refusal> {
         let mut next = first_event;
         while let Some(event) = next {
             self.count_event()?;
             self.record_event(&event);
-            if sender.send(Ok(event.bytes)).await.is_err() {
+            if sender.send(StreamItem::Event(event.bytes)).await.is_err() {
                 return Ok("caller-left");
             }
             next = tokio::select! {
@@ -152,7 +179,10 @@
         self.dispatched.in_flight.record_success();
         suspects::clear_completed(&self.prepared);
         self.store_turn().await?;
-        Ok("answered")
+        match sender.send(StreamItem::End).await {
+            Ok(()) => Ok("answered"),
+            Err(_) => Ok("caller-left"),
+        }
     }
 
     /// Charges the tokens of an event to the turn, and ends the stream if they are more than the turn
