--- a/crates/rosethread_entry/src/connections.rs
+++ b/crates/rosethread_entry/src/connections.rs
@@ -54,6 +54,8 @@
     request: Option<RequestId>,
     /// Whether the request is answered although its body has not been read whole.
     is_body_unread: bool,
+    /// Whether the end of the connection would pass for that of an answer which is not complete.
+    must_reset: bool,
 }
 
 /// One connection of a caller; it counts as open until this is dropped.
@@ -105,6 +107,16 @@
         self.set_stage(ExchangeStage::Serving);
     }
 
+    /// Records that the answer has ended early, and that only a reset of the connection tells the caller.
+    pub fn require_reset(&self) {
+        self.lock().must_reset = true;
+    }
+
+    /// Returns whether the connection has to end with a reset.
+    pub fn must_reset(&self) -> bool {
+        self.lock().must_reset
+    }
+
     /// Returns whether the last request has been answered although its body has not been read whole.
     pub fn is_body_unread(&self) -> bool {
         self.lock().is_body_unread
@@ -133,6 +145,7 @@
             since: Instant::now(),
             request: None,
             is_body_unread: false,
+            must_reset: false,
         };
         let exchange = Arc::new(Mutex::new(exchange));
         lock(&self.exchanges).insert(key, exchange.clone());
