A head and the end of its connection are no empty success

Cause: a response with neither a length nor chunks ends with its connection, so that each regular end was its end.

Ruled out: a head that is cut before its last byte, which hyper takes for an error at each of eleven places tried, closed or reset, directly and by way of another host (those tests passed before).

Why it works: a success of which nothing has come, and whose end nothing states, is a failed attempt: what may run again goes to another target, the rest gets 502 and is not said not to have run.

An empty body whose length is stated, 204 and HEAD are as before.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -1,6 +1,7 @@
 //! Serves one call from its arrival to its response, and defines the types of both.
 
 mod dispatch;
+mod end;
 mod prepare;
 
 use std::{sync::Arc, time::Duration};
@@ -21,6 +22,7 @@
 };
 
 pub(crate) use dispatch::{Attempts, Dispatched, dispatch};
+pub(crate) use end::{Received, check_end};
 pub(crate) use prepare::PreparedCall;
 
 use prepare::OTHER_HOST_RETRY;
@@ -270,6 +272,11 @@
                 return Err(error);
             }
             Ok(None) => {
+                let received = if buffered.is_empty() { Received::Nothing } else { Received::Some };
+                if let Err(detail) = check_end(dispatched, received) {
+                    dispatched.in_flight.record_failure(prepared.entry.now());
+                    return Err(detail);
+                }
                 dispatched.in_flight.record_success();
                 return Ok(buffered.freeze());
             }
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -117,6 +117,15 @@
 /// The chunks of a response body; an error means that the body was cut off, and says why.
 pub type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, String>> + Send>>;
 
+/// How a target tells the end of a response's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// By its length or a last chunk; or the response has no body.
+    Stated,
+    /// By the end of the connection, which may have another cause.
+    Connection,
+}
+
 /// A target's response: the status and headers, and the body as a stream.
 pub struct TargetResponse {
     /// The HTTP status code.
@@ -125,6 +134,8 @@
     pub headers: HeaderMap,
     /// Whether the body is a stream of server-sent events.
     pub is_stream: bool,
+    /// How the target tells the end of the body.
+    pub end: BodyEnd,
     /// The body; dropping it before its end cancels the request at the target.
     pub body: BodyStream,
 }
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     call::{
-        Attempts, CallResponse, Dispatched, PreparedCall, ResponseBody, cutoff_refusal, dispatch,
-        uncertain_refusal,
+        Attempts, CallResponse, Dispatched, PreparedCall, Received, ResponseBody, check_end,
+        cutoff_refusal, dispatch, uncertain_refusal,
     },
     events::{Event, EventBuffer},
     history,
@@ -89,6 +89,8 @@
     attempts: Attempts,
     dispatched: Dispatched,
     buffer: EventBuffer,
+    /// What has come from the current target.
+    received: Received,
     /// The versions of the software that may go on with the stream: the one that began it, once the
     /// caller has an event.
     allowed: AllowedSoftware,
@@ -111,6 +113,7 @@
             attempts,
             dispatched,
             buffer: EventBuffer::default(),
+            received: Received::Nothing,
             allowed,
             last_id,
             tokens: 0,
@@ -219,6 +222,7 @@
         loop {
             match self.buffer.next_event() {
                 Ok(Some(event)) => {
+                    self.received = Received::Some;
                     self.dispatched.in_flight.record_event();
                     // A target that resumes the stream may repeat events that the caller already has.
                     let is_duplicate = event.id.is_some() && event.id <= self.last_id;
@@ -240,8 +244,13 @@
                     Ok(()) => continue,
                     Err(error) => error.to_string(),
                 },
-                Ok(None) if !self.buffer.has_partial() => return Ok(None),
-                Ok(None) => "the stream ended in the middle of an event".to_owned(),
+                Ok(None) if self.buffer.has_partial() => {
+                    "the stream ended in the middle of an event".to_owned()
+                }
+                Ok(None) => match check_end(&self.dispatched, self.received) {
+                    Ok(()) => return Ok(None),
+                    Err(detail) => detail,
+                },
                 Ok(Some(Err(error))) => error,
                 Err(_) => {
                     let detail = "the stream did not end before the deadline".to_owned();
@@ -269,6 +278,7 @@
         }
         self.dispatched = dispatched;
         self.buffer = EventBuffer::default();
+        self.received = Received::Nothing;
         Ok(())
     }
 
