A response without a length is not complete if its target has crashed

Cause: such a response ends with its connection, and the connections of a process that is killed mostly end regularly: in bytes there is no difference.

Why it works: behind such an end the host asks whether the process has ended, as it does for calls that crash targets: an address that refuses connections, while another target takes them, and another host finds the same. A target that is leaving, or no longer registered, is not asked. If it has ended, the attempt has failed: what may run again goes on elsewhere, the rest is cut or gets 502. Cost: one connection for each response without a length; nothing for all others.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -250,6 +250,7 @@
 async fn read_body(prepared: &PreparedCall, dispatched: &mut Dispatched) -> Result<Bytes, String> {
     use futures::StreamExt;
     dispatched.in_flight.record_output();
+    let is_doubtful = dispatched.response.has_doubtful_end();
     let TargetResponse { body, .. } = &mut dispatched.response;
     let mut buffered = bytes::BytesMut::new();
     let mut memory = prepared.entry.response_memory.reserve();
@@ -273,7 +274,9 @@
             }
             Ok(None) => {
                 let received = if buffered.is_empty() { Received::Nothing } else { Received::Some };
-                if let Err(detail) = check_end(dispatched, received) {
+                if is_doubtful
+                    && let Err(detail) = check_end(prepared, &dispatched.target, received).await
+                {
                     dispatched.in_flight.record_failure(prepared.entry.now());
                     return Err(detail);
                 }
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -141,6 +141,11 @@
 }
 
 impl TargetResponse {
+    /// Returns whether a regular end of the body leaves it in doubt that this success is complete.
+    pub fn has_doubtful_end(&self) -> bool {
+        self.end == BodyEnd::Connection && (200..300).contains(&self.status)
+    }
+
     /// Drops the rest of the body, which cancels the request at the target.
     pub fn cancel(&mut self) {
         self.body = futures::stream::empty().boxed();
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -247,7 +247,7 @@
                 Ok(None) if self.buffer.has_partial() => {
                     "the stream ended in the middle of an event".to_owned()
                 }
-                Ok(None) => match check_end(&self.dispatched, self.received) {
+                Ok(None) => match self.check_end().await {
                     Ok(()) => return Ok(None),
                     Err(detail) => detail,
                 },
@@ -262,6 +262,14 @@
         }
     }
 
+    /// Returns why the stream is not complete, though its target has ended it regularly.
+    async fn check_end(&mut self) -> Result<(), String> {
+        if self.dispatched.response.has_doubtful_end() {
+            check_end(&self.prepared, &self.dispatched.target, self.received).await?;
+        }
+        Ok(())
+    }
+
     /// Resumes the stream at another target, after the last event that the caller has.
     async fn fail_over(&mut self, detail: &str) -> Result<(), Refusal> {
         self.dispatched.in_flight.record_failure(self.prepared.entry.now());
