A stream that is taken up ends, or goes on, only as its events do

Cause: after a fail-over any regular end was the end, and any higher number the next event.

Of the three deployments Trailerwerk alone allows the two attempts that a take-up within an answer needs, and there alone the users saw ORDER.

Why it works: where a stream's numbers have gone up by one, the target that takes it up has to go on so; streams that number otherwise are left alone, and so is what the first target sends. A take-up that brings no further event is a failed attempt. It counts as the end if a second target says the same; where no other attempt is left, an answer that has begun is interrupted, and a caller who takes its stream up with a new call gets the end that its target stated.

--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod ports;
 mod registry;
 mod routes;
+mod sequence;
 mod settings;
 mod shards;
 mod software;
@@ -61,6 +62,7 @@
 pub use peers::{PeerClient, PeerReply, PeerRequest, TcpPeerClient, serve_peers};
 pub use registry::{REREGISTRATION_GRACE, Target, TargetRegistry, TargetStatus};
 pub use routes::{ClientLimits, EngineProfile, Route, RouteKind, Routes, Service, WeightedService};
+pub use sequence::{EventOrder, EventSequence};
 pub use settings::{
     EntryAddresses, EntrySettings, PlatformSettings, ReloadableSettings, TimeLimits,
 };
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -17,6 +17,7 @@
     events::{Event, EventBuffer},
     history,
     origins::{self, AllowedSoftware},
+    sequence::{EventOrder, EventSequence},
     suspects,
     turns::FinishedTurn,
 };
@@ -25,6 +26,9 @@
 /// buffer is full.
 const CALLER_BUFFER_EVENTS: usize = 32;
 
+/// The number of targets that have to say that a stream has no further event.
+const CONFIRMED_ENDS: u32 = 2;
+
 /// the stream was interrupted: {0}
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub struct StreamInterrupted(pub String);
@@ -94,8 +98,10 @@
     /// The versions of the software that may go on with the stream: the one that began it, once the
     /// caller has an event.
     allowed: AllowedSoftware,
-    /// Identifier of the last event forwarded to the caller.
-    last_id: Option<u64>,
+    /// The numbers of the events forwarded to the caller.
+    sequence: EventSequence,
+    /// The number of targets that took the stream up and ended it without a further event.
+    empty_ends: u32,
     /// Tokens of the events forwarded to the caller.
     tokens: Tokens,
     /// The data of all events, collected only if the route stores the history of turns.
@@ -106,7 +112,7 @@
 
 impl Relay {
     fn new(prepared: Arc<PreparedCall>, attempts: Attempts, dispatched: Dispatched) -> Relay {
-        let last_id = prepared.call.resume_after;
+        let sequence = EventSequence::new(prepared.call.resume_after);
         let allowed = prepared.allowed.clone();
         Relay {
             prepared,
@@ -115,7 +121,8 @@
             buffer: EventBuffer::default(),
             received: Received::Nothing,
             allowed,
-            last_id,
+            sequence,
+            empty_ends: 0,
             tokens: 0,
             output: Vec::new(),
             first_latency: None,
@@ -206,9 +213,7 @@
 
     /// Advances the position to resume from, and collects the event's data if the turn is stored.
     fn record_event(&mut self, event: &Event) {
-        if event.id.is_some() {
-            self.last_id = event.id;
-        }
+        self.sequence.record(event.id);
         if self.prepared.route.history.is_some() {
             self.output.extend_from_slice(&event.data);
             self.output.push(b'\n');
@@ -222,14 +227,19 @@
         loop {
             match self.buffer.next_event() {
                 Ok(Some(event)) => {
-                    self.received = Received::Some;
                     self.dispatched.in_flight.record_event();
-                    // A target that resumes the stream may repeat events that the caller already has.
-                    let is_duplicate = event.id.is_some() && event.id <= self.last_id;
-                    if is_duplicate {
-                        continue;
+                    match self.sequence.check(event.id) {
+                        EventOrder::Next => {
+                            self.received = Received::Some;
+                            return Ok(Some(event));
+                        }
+                        // A target that resumes the stream may repeat events.
+                        EventOrder::Repeated => (),
+                        EventOrder::Missing => {
+                            self.fail_over("the stream goes on with an event missing").await?;
+                        }
                     }
-                    return Ok(Some(event));
+                    continue;
                 }
                 Ok(None) => (),
                 Err(error) => {
@@ -249,6 +259,13 @@
                 }
                 Ok(None) => match self.check_end().await {
                     Ok(()) => return Ok(None),
+                    // The caller may have had all events before this call.
+                    Err(detail) if self.may_be_empty() => {
+                        if self.fail_over(&detail).await.is_err() {
+                            return Ok(None);
+                        }
+                        continue;
+                    }
                     Err(detail) => detail,
                 },
                 Ok(Some(Err(error))) => error,
@@ -263,13 +280,29 @@
     }
 
     /// Returns why the stream is not complete, though its target has ended it regularly.
+    ///
+    /// A target that takes a stream up and sends nothing further has to be confirmed by another one.
     async fn check_end(&mut self) -> Result<(), String> {
+        let resumes = self.sequence.last().is_some();
+        if resumes && self.received == Received::Nothing {
+            self.empty_ends += 1;
+            if self.empty_ends < CONFIRMED_ENDS {
+                return Err("the stream was taken up and ended without a further event".to_owned());
+            }
+        }
         if self.dispatched.response.has_doubtful_end() {
-            check_end(&self.prepared, &self.dispatched.target, self.received).await?;
+            let received = if resumes { Received::Some } else { self.received };
+            check_end(&self.prepared, &self.dispatched.target, received).await?;
         }
         Ok(())
     }
 
+    /// Returns whether the target states that the caller who takes the stream up has all of its events.
+    fn may_be_empty(&self) -> bool {
+        let is_stated = !self.dispatched.response.has_doubtful_end();
+        is_stated && self.prepared.call.resume_after.is_some() && !self.sequence.has_events()
+    }
+
     /// Resumes the stream at another target, after the last event that the caller has.
     async fn fail_over(&mut self, detail: &str) -> Result<(), Refusal> {
         self.dispatched.in_flight.record_failure(self.prepared.entry.now());
@@ -279,7 +312,8 @@
         self.dispatched.response.cancel();
         self.attempts.retry_or_refuse(&self.prepared, target, output_time, detail)?;
         let dispatched =
-            dispatch(&self.prepared, &mut self.attempts, self.last_id, &self.allowed).await?;
+            dispatch(&self.prepared, &mut self.attempts, self.sequence.last(), &self.allowed)
+                .await?;
         if !dispatched.response.is_stream || dispatched.response.status != 200 {
             let detail = format!("{} did not resume the stream", dispatched.target.name);
             return Err(uncertain_refusal(true, Reason::TargetFailed, detail));
@@ -287,6 +321,7 @@
         self.dispatched = dispatched;
         self.buffer = EventBuffer::default();
         self.received = Received::Nothing;
+        self.sequence.take_up();
         Ok(())
     }
 
