A host that has lost its path to a target is no witness of its end alone

Cause: `paths::has_ended` counts this host's word alone where no other host replies. A host whose path to the target is lost finds its address refused all the same, and where there is only one target nothing shows that the path is the cause.

Why it works: such a host needs another one's word; without it the target is not held for ended. The same question decides which calls crash targets, so it is mended there as well.

--- a/crates/rosethread_entry/src/paths/evidence.rs
+++ b/crates/rosethread_entry/src/paths/evidence.rs
@@ -39,8 +39,10 @@
 
 /// Returns whether a target's process has ended, as far as several hosts can tell.
 ///
-/// Where no other host can be asked, as none is there or none knows the question, this one's word counts.
+/// Where no other host can be asked, as none is there or none knows the question, this one's word counts,
+/// unless it had lost its path to the target before.
 pub(crate) async fn has_ended(entry: &Arc<Entry>, target: &Target) -> bool {
+    let is_lost = entry.paths.reach().is_lost(&target.name);
     if probe(entry, target).await != Probe::Ended {
         return false;
     }
@@ -58,8 +60,9 @@
     });
     let replies = join_all(asked).await;
     let found: Vec<Probe> = replies.into_iter().flatten().collect();
+    let own_word_counts = found.is_empty() && !is_lost;
     let has_ended =
-        !found.contains(&Probe::Reached) && (found.is_empty() || found.contains(&Probe::Ended));
+        !found.contains(&Probe::Reached) && (own_word_counts || found.contains(&Probe::Ended));
     info!(entry.logger, "paths: a target refuses connections"; "target" => %target.name,
         "start" => target.start.0, "others" => ?found, "has_ended" => has_ended);
     if found.contains(&Probe::Reached) {
--- a/crates/rosethread_policy/src/reach.rs
+++ b/crates/rosethread_policy/src/reach.rs
@@ -162,6 +162,11 @@
         self.failed.retain(|it| is_known(it));
     }
 
+    /// Returns whether the direct path to a target is lost.
+    pub fn is_lost(&self, target: &TargetName) -> bool {
+        self.lost.get(target).is_some_and(|it| it.restored.is_none())
+    }
+
     /// Returns the number of targets whose direct path is lost.
     pub fn lost_count(&self) -> usize {
         self.lost.values().filter(|it| it.restored.is_none()).count()
