A stated end of a stream counts where no other attempt can confirm it

So the end is asked of another target while the call may be sent again, and where it may not, what a target states, by a length or a last chunk, is passed on. An end by the connection alone still counts as broken off.

--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -259,8 +259,8 @@
                 }
                 Ok(None) => match self.check_end().await {
                     Ok(()) => return Ok(None),
-                    // The caller may have had all events before this call.
-                    Err(detail) if self.may_be_empty() => {
+                    // The caller may have all events, as the target states.
+                    Err(detail) if self.states_no_event() => {
                         if self.fail_over(&detail).await.is_err() {
                             return Ok(None);
                         }
@@ -281,7 +281,8 @@
 
     /// Returns why the stream is not complete, though its target has ended it regularly.
     ///
-    /// A target that takes a stream up and sends nothing further has to be confirmed by another one.
+    /// That a target takes a stream up and sends nothing further has to be confirmed by another one, if the
+    /// call may be sent again.
     async fn check_end(&mut self) -> Result<(), String> {
         let resumes = self.sequence.last().is_some();
         if resumes && self.received == Received::Nothing {
@@ -297,10 +298,9 @@
         Ok(())
     }
 
-    /// Returns whether the target states that the caller who takes the stream up has all of its events.
-    fn may_be_empty(&self) -> bool {
-        let is_stated = !self.dispatched.response.has_doubtful_end();
-        is_stated && self.prepared.call.resume_after.is_some() && !self.sequence.has_events()
+    /// Returns whether the target has ended the stream without an event, and not by its connection alone.
+    fn states_no_event(&self) -> bool {
+        self.received == Received::Nothing && !self.dispatched.response.has_doubtful_end()
     }
 
     /// Resumes the stream at another target, after the last event that the caller has.
