A stream whose events have no numbers is not taken up by another target

Cause: without a number there is nothing to go on behind, so the next target began anew, and its events were joined to the first ones.

Why it works: the stream is interrupted unless the last event that the caller has bears a number.

--- a/crates/rosethread_entry/src/events.rs
+++ b/crates/rosethread_entry/src/events.rs
@@ -37,6 +37,13 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Returns whether it holds a comment or a setting alone, such as targets send to keep a connection open.
+    pub fn is_comment(&self) -> bool {
+        self.id.is_none() && self.data.is_empty()
+    }
+}
+
 /// an event in the stream exceeds the size limit
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub struct EventTooLarge;
--- a/crates/rosethread_entry/src/sequence.rs
+++ b/crates/rosethread_entry/src/sequence.rs
@@ -23,6 +23,8 @@
     count: u64,
     /// Whether each of them had the number behind the one before it.
     is_dense: bool,
+    /// Whether the last of them had a number.
+    is_numbered: bool,
     /// Whether another target has gone on behind one of them.
     is_taken_up: bool,
 }
@@ -30,7 +32,13 @@
 impl EventSequence {
     /// Begins behind the event `resume_after`, or with the first one.
     pub fn new(resume_after: Option<u64>) -> EventSequence {
-        EventSequence { last: resume_after, count: 0, is_dense: true, is_taken_up: false }
+        EventSequence {
+            last: resume_after,
+            count: 0,
+            is_dense: true,
+            is_numbered: false,
+            is_taken_up: false,
+        }
     }
 
     /// Returns the number of the last event.
@@ -43,6 +51,11 @@
         self.count != 0
     }
 
+    /// Returns whether another target can go on with the stream: it has to know behind which event.
+    pub fn can_be_taken_up(&self) -> bool {
+        !self.has_events() || self.is_numbered
+    }
+
     /// Returns how an event with this number follows the others.
     ///
     /// Numbers are taken for dense only if a target has shown that they are, and a gap counts only once
@@ -66,6 +79,7 @@
             (None, _) => false,
         };
         self.is_dense &= is_next;
+        self.is_numbered = id.is_some();
         self.count += 1;
         self.last = id.or(self.last);
     }
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -175,8 +175,10 @@
     ) -> Result<&'static str, Refusal> {
         let mut next = first_event;
         while let Some(event) = next {
-            self.count_event()?;
-            self.record_event(&event);
+            if !event.is_comment() {
+                self.count_event()?;
+                self.record_event(&event);
+            }
             if sender.send(StreamItem::Event(event.bytes)).await.is_err() {
                 return Ok("caller-left");
             }
@@ -228,6 +230,9 @@
             match self.buffer.next_event() {
                 Ok(Some(event)) => {
                     self.dispatched.in_flight.record_event();
+                    if event.is_comment() {
+                        return Ok(Some(event));
+                    }
                     match self.sequence.check(event.id) {
                         EventOrder::Next => {
                             self.received = Received::Some;
@@ -311,6 +316,10 @@
         // Otherwise the target works on while the next one takes the stream up.
         self.dispatched.response.cancel();
         self.attempts.retry_or_refuse(&self.prepared, target, output_time, detail)?;
+        if !self.sequence.can_be_taken_up() {
+            let detail = format!("{detail}, and its events have no numbers");
+            return Err(uncertain_refusal(true, Reason::TargetFailed, detail));
+        }
         let dispatched =
             dispatch(&self.prepared, &mut self.attempts, self.sequence.last(), &self.allowed)
                 .await?;
--- a/crates/rosethread_entry/tests/sequence.rs
+++ b/crates/rosethread_entry/tests/sequence.rs
@@ -24,6 +24,21 @@
     }
 }
 
+/// Checks whether another target can go on behind events with these numbers.
+fn check_can_be_taken_up(resume_after: Option<u64>, ids: &[Option<u64>], expected: bool) {
+    let mut sequence = EventSequence::new(resume_after);
+    ids.iter().for_each(|it| sequence.record(*it));
+    assert_eq!(sequence.can_be_taken_up(), expected);
+}
+
+rosethread_cases::cases!(check_can_be_taken_up {
+    no_event: (None, &[], true);
+    numbered_events: (None, &[Some(1), Some(2)], true);
+    // Guards against a stream that begins again, or goes on behind an older event than the caller's last.
+    events_without_numbers: (None, &[None, None], false);
+    a_last_event_without_a_number: (Some(3), &[Some(4), None], false);
+});
+
 rosethread_cases::cases!(check_take_up {
     the_next_event: (None, &[Some(1), Some(2)], &[(Some(3), Next), (Some(4), Next)]);
     events_that_the_caller_has: (None, &[Some(1), Some(2)], &[(Some(1), Repeated), (Some(2), Repeated), (Some(3), Next)]);
