The end of a response is doubted on this host's own word

A stream of a target that had crashed still ended as complete where the only other host reached no target (ORDER).

Cause: the check used `paths::has_ended`, which wants two hosts' word, as a call is refused at all hosts on it. Here a wrong answer costs one caller an interruption, and a wrong one the other way a stream that looks complete.

--- a/crates/rosethread_entry/src/call/end.rs
+++ b/crates/rosethread_entry/src/call/end.rs
@@ -47,11 +47,12 @@
     if !is_serving {
         return false;
     }
-    let has_ended = timeout_at(prepared.deadline, paths::has_ended(entry, target)).await;
-    if !matches!(has_ended, Ok(false)) {
+    // A deadline that passes meanwhile leaves the response as it came.
+    let may_have_ended = timeout_at(prepared.deadline, paths::may_have_ended(entry, target)).await;
+    if !matches!(may_have_ended, Ok(false)) {
         info!(entry.logger, "call: a response ended with its connection";
             "id" => %prepared.call.id, "target" => %target.name,
-            "target_ended" => ?has_ended);
+            "target_may_have_ended" => ?may_have_ended);
     }
-    matches!(has_ended, Ok(true))
+    matches!(may_have_ended, Ok(true))
 }
--- a/crates/rosethread_entry/src/paths.rs
+++ b/crates/rosethread_entry/src/paths.rs
@@ -34,7 +34,7 @@
 };
 
 pub use evidence::Probe;
-pub(crate) use evidence::{answer as answer_probe, has_ended};
+pub(crate) use evidence::{answer as answer_probe, has_ended, may_have_ended};
 pub(crate) use grant::serve_path;
 pub use relay::PathStream;
 pub use silence::limit_silence;
--- a/crates/rosethread_entry/src/paths/evidence.rs
+++ b/crates/rosethread_entry/src/paths/evidence.rs
@@ -46,6 +46,36 @@
     if probe(entry, target).await != Probe::Ended {
         return false;
     }
+    let found = ask_others(entry, target).await;
+    let own_word_counts = found.is_empty() && !is_lost;
+    let has_ended =
+        !found.contains(&Probe::Reached) && (own_word_counts || found.contains(&Probe::Ended));
+    info!(entry.logger, "paths: a target refuses connections"; "target" => %target.name,
+        "start" => target.start.0, "others" => ?found, "has_ended" => has_ended);
+    has_ended
+}
+
+/// Returns whether a target's process may have ended: its address refuses this host's connections, and no
+/// other host reaches it.
+///
+/// Where this host had lost its path before, another one has to find that the process has ended.
+pub(crate) async fn may_have_ended(entry: &Arc<Entry>, target: &Target) -> bool {
+    let is_lost = entry.paths.reach().is_lost(&target.name);
+    let is_refused = match paths::connect_directly(entry, target).await {
+        Ok(_) | Err(ConnectError::Full) => return false,
+        Err(error) => error == ConnectError::Refused,
+    };
+    let found = ask_others(entry, target).await;
+    let may_have_ended = !found.contains(&Probe::Reached)
+        && (is_refused && !is_lost || found.contains(&Probe::Ended));
+    info!(entry.logger, "paths: a target is not reached"; "target" => %target.name,
+        "start" => target.start.0, "refused" => is_refused, "lost" => is_lost,
+        "others" => ?found, "may_have_ended" => may_have_ended);
+    may_have_ended
+}
+
+/// Asks other hosts what they find at the address of a target that refuses this one.
+async fn ask_others(entry: &Arc<Entry>, target: &Target) -> Vec<Probe> {
     let view = entry.view();
     let order = paths::order_helpers(entry, &view);
     let asked = order.iter().take(WITNESSES).filter_map(|it| view.get(it)).map(async |it| {
@@ -58,17 +88,11 @@
             _ => None,
         }
     });
-    let replies = join_all(asked).await;
-    let found: Vec<Probe> = replies.into_iter().flatten().collect();
-    let own_word_counts = found.is_empty() && !is_lost;
-    let has_ended =
-        !found.contains(&Probe::Reached) && (own_word_counts || found.contains(&Probe::Ended));
-    info!(entry.logger, "paths: a target refuses connections"; "target" => %target.name,
-        "start" => target.start.0, "others" => ?found, "has_ended" => has_ended);
+    let found: Vec<Probe> = join_all(asked).await.into_iter().flatten().collect();
     if found.contains(&Probe::Reached) {
         paths::record_lost(entry, target, PathLoss::Refused);
     }
-    has_ended
+    found
 }
 
 /// Answers another host's question for a target.
