--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -58,7 +58,7 @@
 pub use life::{Draining, EntryNode, Serving, Stopped};
 pub use memory::{MemoryPool, Reservation};
 pub use metrics::Metrics;
-pub use paths::{NoPath, PathRequest, PathStream, Probe, limit_silence};
+pub use paths::{LateReader, NoPath, PathRequest, PathStream, Probe, limit_silence};
 pub use peers::{PeerClient, PeerReply, PeerRequest, TcpPeerClient, serve_peers};
 pub use registry::{REREGISTRATION_GRACE, Target, TargetRegistry, TargetStatus};
 pub use routes::{ClientLimits, EngineProfile, Route, RouteKind, Routes, Service, WeightedService};
--- a/crates/rosethread_entry/src/paths.rs
+++ b/crates/rosethread_entry/src/paths.rs
@@ -37,7 +37,7 @@
 pub(crate) use evidence::{answer as answer_probe, has_ended, may_have_ended};
 pub(crate) use grant::serve_path;
 pub use relay::PathStream;
-pub use silence::limit_silence;
+pub use silence::{LateReader, limit_silence};
 
 /// The time that a direct connection gets before another host is asked. A lost opening packet is sent
 /// again only after a second.
--- a/crates/rosethread_entry/src/paths/relay.rs
+++ b/crates/rosethread_entry/src/paths/relay.rs
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    paths::{NoPath, PathRequest, limit_silence},
+    paths::{LateReader, NoPath, PathRequest, limit_silence},
     peers::{PeerReply, PeerRequest, frame_codec},
 };
 
@@ -77,10 +77,7 @@
     let _ = limit_silence(&parts.io);
     let (mut near_read, near_write) = parts.io.into_split();
     let (far_read, mut far_write) = target.into_split();
-    let requests = async {
-        far_write.write_all(&parts.read_buf).await?;
-        tokio::io::copy(&mut near_read, &mut far_write).await
-    };
+    let requests = send_requests(parts.read_buf, &mut near_read, &mut far_write);
     // Each side hears of the other's end by the end of its connection.
     tokio::select! {
         _ = requests => (),
@@ -88,15 +85,38 @@
     }
 }
 
+/// Sends what the host that asked for the path sends, `received` of which has arrived.
+async fn send_requests(
+    received: BytesMut,
+    host: &mut OwnedReadHalf,
+    target: &mut OwnedWriteHalf,
+) -> io::Result<()> {
+    let mut buffer = received;
+    let (mut reader, mut written) = (LateReader::default(), 0);
+    loop {
+        target.write_all(&buffer).await?;
+        written += buffer.len();
+        reader.update(target.as_ref(), written);
+        buffer.clear();
+        buffer.reserve(CHUNK_BYTES);
+        if host.read_buf(&mut buffer).await? == 0 {
+            return Ok(());
+        }
+    }
+}
+
 /// Sends what the target sends; an error of the target's connection ends the path without its mark.
 async fn send_chunks(
     mut target: OwnedReadHalf,
     mut frames: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
 ) -> io::Result<()> {
     let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
+    let (mut reader, mut written) = (LateReader::default(), 0);
     loop {
         let count = target.read_buf(&mut buffer).await?;
         frames.send(buffer.split().freeze()).await?;
+        written += count;
+        reader.update(frames.get_ref().as_ref(), written);
         if count == 0 {
             return Ok(());
         }
