Calls carry the credential of an organisation, and are known by it

Cause: nothing read the organisations of a configuration. A call needed no key, its key was passed on to targets, and two organisations with the same identifiers shared programs and stored turns.

Change: the configuration's keys are kept as digests. A call is identified once, before anything else looks at it; a key that is missing, malformed or unknown gets 401, from a host that is isolated 503. Targets get the organisation's name as we know it, and no key. The identifiers of programs, turns and streams are scoped to the organisation at that one place, so everything behind it keeps organisations apart. Routes from a host of the last release, which doesn't know of organisations, are not used where there may be some.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -1,5 +1,6 @@
 //! Serves one call from its arrival to its response, and defines the types of both.
 
+mod access;
 mod dispatch;
 mod end;
 mod prepare;
@@ -16,6 +17,7 @@
 
 use crate::{
     entry::Entry,
+    organisations::{Credential, Identity},
     ports::TargetResponse,
     stream::{self, EventReceiver},
     suspects,
@@ -93,6 +95,15 @@
     pub program: Option<ProgramContext>,
     /// The turn that this call continues, for routes that store the history of turns.
     pub previous: Option<RequestId>,
+    /// `previous` as the caller names it, under which hosts of earlier releases stored the turns of
+    /// organisations; `None` where it is not scoped.
+    pub previous_unscoped: Option<RequestId>,
+    /// The identifier under which hosts know this call as a turn: `id`, scoped to the organisation.
+    pub turn: RequestId,
+    /// The credential that the call carries.
+    pub credential: Credential,
+    /// On whose behalf the call is made, as follows from the credential.
+    pub identity: Identity,
 }
 
 /// A target's response, as forwarded to the caller.
@@ -199,11 +210,13 @@
 }
 
 /// Prepares and dispatches a call, unless this host has to end before.
-async fn run_call(entry: &Arc<Entry>, call: Call) -> Result<CallResponse, Refusal> {
+async fn run_call(entry: &Arc<Entry>, mut call: Call) -> Result<CallResponse, Refusal> {
+    let routes = entry.routes();
+    access::identify_caller(entry, &routes, &mut call)?;
     suspects::refuse_deadly(entry, &call)?;
     let prepared = tokio::select! {
         biased;
-        prepared = PreparedCall::prepare(entry, call) => Arc::new(prepared?),
+        prepared = PreparedCall::prepare(entry, routes, call) => Arc::new(prepared?),
         () = entry.wait_for_cutoff() => return Err(leaving_refusal("this host stops".to_owned())),
     };
     let is_repeatable = prepared.route.is_repeatable();
--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -80,8 +80,13 @@
 
 impl PreparedCall {
     /// Finds the route, loads the history and gets the token grant of a call, or refuses the call.
-    pub(crate) async fn prepare(entry: &Arc<Entry>, call: Call) -> Result<PreparedCall, Refusal> {
-        let routes = entry.routes();
+    ///
+    /// The routes are those by which the caller was identified.
+    pub(crate) async fn prepare(
+        entry: &Arc<Entry>,
+        routes: Arc<Routes>,
+        call: Call,
+    ) -> Result<PreparedCall, Refusal> {
         if routes.revision.0 == 0 {
             let detail = "no routes have been loaded yet";
             return Err(Refusal::not_run(Reason::NoDocument, detail).retry_after(ROUTES_RETRY));
@@ -111,7 +116,7 @@
         }
         Ok(PreparedCall {
             entry: entry.clone(),
-            rank: rank(&route, admission.underway),
+            rank: rank(call.priority(&route), admission.underway),
             allowed,
             home: admission.home,
             grant: admission.grant,
@@ -179,7 +184,7 @@
         let budget = call.program.as_ref().and_then(|it| it.budget).unwrap_or(0);
         info!(entry.logger, "call: ended"; "id" => %call.id, "program" => program,
             "previous" => previous, "budget" => budget, "route" => &*self.route.name,
-            "routes" => self.routes.revision.0,
+            "organisation" => call.identity.name(), "routes" => self.routes.revision.0,
             "target" => %target.name,
             "software" => target.software.as_ref().map_or("", |it| it.as_str()),
             "resumes" => call.resumes.as_ref().map_or("", |it| it.as_str()), "home" => self.home.as_ref().map_or("", |it| it.as_str()),
@@ -255,7 +260,15 @@
     let Some(previous) = &call.previous else {
         return Ok((call.body.clone(), true));
     };
-    let transcript = history::load_transcript(entry, shard, previous, deadline).await?;
+    let loaded = history::load_transcript(entry, shard, previous, deadline).await;
+    let transcript = match (loaded, &call.previous_unscoped) {
+        (Err(refusal), Some(unscoped)) if refusal.reason == Reason::UnknownTurn => {
+            let loaded = history::load_transcript(entry, shard, unscoped, deadline).await;
+            // The caller is told of the turn by the same name as if there were no earlier release.
+            loaded.map_err(|it| if it.reason == Reason::UnknownTurn { refusal } else { it })?
+        }
+        (loaded, _) => loaded?,
+    };
     let mut body = BytesMut::with_capacity(transcript.text.len() + call.body.len());
     body.extend_from_slice(&transcript.text);
     body.extend_from_slice(&call.body);
@@ -321,10 +334,10 @@
     }
 }
 
-/// Returns the rank among an engine's requests: by the route's priority, and within a priority
-/// programs that have already produced tokens first.
-fn rank(route: &Route, is_underway: bool) -> u8 {
-    route.priority.saturating_mul(2).saturating_add(u8::from(!is_underway)).min(LOWEST_RANK)
+/// Returns the rank among an engine's requests: by priority, and within a priority programs that have
+/// already produced tokens first.
+fn rank(priority: u8, is_underway: bool) -> u8 {
+    priority.saturating_mul(2).saturating_add(u8::from(!is_underway)).min(LOWEST_RANK)
 }
 
 /// The targets that a call was sent to, as reported to the owner of its program.
--- a/crates/rosethread_entry/src/control/routes.rs
+++ b/crates/rosethread_entry/src/control/routes.rs
@@ -4,7 +4,7 @@
 
 use rosethread_membership::{NodeState, Status};
 use rosethread_runtime::Tick;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -68,6 +68,10 @@
         };
         let started = Instant::now();
         match entry.peers.request(peer.contact.peer, PeerRequest::Routes).await {
+            Ok(PeerReply::Routes(routes)) if may_need_access(&entry, &routes) => {
+                debug!(entry.logger, "routes: a host of an earlier release does not know who may use them";
+                    "peer" => %peer.node, "revision" => routes.revision.0);
+            }
             Ok(PeerReply::Routes(routes)) => activate(&entry, routes, peer.node.as_str(), started),
             Ok(_) => warn!(entry.logger, "routes: unexpected reply"; "peer" => %peer.node),
             Err(error) => {
@@ -78,6 +82,13 @@
     }
 }
 
+/// Returns whether routes lack who may use them, though they may name organisations: without that anyone
+/// could use them.
+fn may_need_access(entry: &Entry, routes: &Routes) -> bool {
+    let own = entry.routes();
+    routes.lacks_access && (own.revision.0 == 0 || own.organisations.is_some())
+}
+
 /// Activates routes unless the active revision is as new or newer.
 ///
 /// `source` is the name of the peer that sent the routes, or `store`, and `started` is when they were
@@ -86,6 +97,8 @@
 fn activate(entry: &Entry, routes: Routes, source: &str, started: Instant) {
     let routes = routes.limited();
     let (revision, count) = (routes.revision, routes.count());
+    let organisations = routes.organisations.as_ref().map_or(0, |it| it.iter().count());
+    let ambiguous = routes.organisations.as_ref().map_or(0, |it| it.ambiguous_keys());
     let previous = entry.routes().revision;
     let is_activated = entry.routes.send_if_modified(|it| {
         let is_newer = it.revision < revision;
@@ -97,7 +110,8 @@
     if is_activated {
         entry.metrics.revision.set(revision.0 as i64);
         info!(entry.logger, "routes: activated"; "revision" => revision.0, "before" => previous.0,
-            "from" => source, "routes" => count, "read_ms" => started.elapsed().as_millis() as u64,
+            "from" => source, "routes" => count, "organisations" => organisations,
+            "ambiguous_keys" => ambiguous, "read_ms" => started.elapsed().as_millis() as u64,
             "store_silence_ms" => entry.time_since_store_response().as_millis() as u64);
     }
 }
--- a/crates/rosethread_entry/src/fingerprint.rs
+++ b/crates/rosethread_entry/src/fingerprint.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-use crate::call::Call;
+use crate::{call::Call, organisations::Identity};
 
 /// Separates fingerprints from everything else that hosts authenticate with the same key.
 const DOMAIN: &[u8] = b"rosethread call fingerprint";
@@ -46,7 +46,12 @@
 
 /// Returns a digest of `parts`, and of the caller, the method, the host and the path of a call.
 fn digest(call: &Call, key: &[u8], parts: &[&[u8]]) -> Fingerprint {
-    let caller = call.headers.get(header::AUTHORIZATION).map_or(&[][..], |it| it.as_bytes());
+    let caller = match &call.identity {
+        Identity::Unchecked => {
+            call.headers.get(header::AUTHORIZATION).map_or(&[][..], |it| it.as_bytes())
+        }
+        identity => identity.name().as_bytes(),
+    };
     let common: [&[u8]; 5] = [
         DOMAIN,
         caller,
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod load;
 mod memory;
 mod metrics;
+mod organisations;
 mod origins;
 mod pace;
 mod paths;
@@ -58,6 +59,9 @@
 pub use life::{Draining, EntryNode, Serving, Stopped};
 pub use memory::{MemoryPool, Reservation};
 pub use metrics::Metrics;
+pub use organisations::{
+    Credential, Identity, KeyDigest, NoOrganisation, Organisation, Organisations, RateLimit,
+};
 pub use paths::{LateReader, NoPath, PathRequest, PathStream, Probe, limit_silence};
 pub use peers::{PeerClient, PeerReply, PeerRequest, TcpPeerClient, serve_peers};
 pub use registry::{REREGISTRATION_GRACE, Target, TargetRegistry, TargetStatus};
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -32,6 +32,9 @@
     /// Time from a grant request to the verdict, including retries. Requests without a verdict are
     /// not counted.
     pub grant_seconds: Histogram,
+    /// Number of calls whose credential was checked, by result: `known`, `missing`, `malformed` or
+    /// `unknown`.
+    pub credentials: IntCounterVec,
     /// Number of appends of turns and ledger records to the shared log, including retries.
     pub appends: IntCounter,
     /// Number of turns that this host copied since they outlive their records in the log.
@@ -106,6 +109,11 @@
                 "Calls ended, by outcome.",
                 "outcome",
             ),
+            credentials: counter_vec(
+                "rosethread_entry_credentials_total",
+                "Calls whose credential was checked, by result.",
+                "result",
+            ),
             sends: counter_vec(
                 "rosethread_entry_sends_total",
                 "Sends to targets, by result.",
--- a/crates/rosethread_entry/src/origins.rs
+++ b/crates/rosethread_entry/src/origins.rs
@@ -153,7 +153,7 @@
     service: &ServiceName,
     software: Software,
 ) {
-    let attempt = call.resumes.as_ref().unwrap_or(&call.id);
+    let attempt = call.resumes.as_ref().unwrap_or(&call.turn);
     let key = origin_key(entry, attempt);
     entry.origins.record(key, software.clone(), true, entry.now());
     if 1 < entry.software(service).len() {
@@ -282,7 +282,7 @@
 ) -> Option<Software> {
     let view = entry.view();
     let contacts =
-        replica_contacts(entry, &view, key.unwrap_or_else(|| origin_key(entry, &call.id)));
+        replica_contacts(entry, &view, key.unwrap_or_else(|| origin_key(entry, &call.turn)));
     let asked = contacts.len();
     let request = || PeerRequest::ConfirmSoftware { service: service.clone(), key };
     let mut replies: FuturesUnordered<_> =
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -137,7 +137,7 @@
 }
 
 /// The reply to a [`PeerRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
     /// The decision about a turn.
     Verdict(Verdict),
@@ -182,8 +182,8 @@
 }
 
 impl PeerReply {
-    /// Encodes the reply to request `id`. The versions of targets' software follow it, where nodes of
-    /// the last release don't look.
+    /// Encodes the reply to request `id`. The versions of targets' software, or who may use the
+    /// routes, follow it, where nodes of the last release don't look.
     pub fn encode(&self, id: u64) -> Result<Vec<u8>, postcard::Error> {
         let frame = postcard::to_stdvec(&(id, self))?;
         match self {
@@ -191,6 +191,7 @@
                 let software: Vec<_> = targets.iter().map(|it| &it.software).collect();
                 postcard::to_extend(&software, frame)
             }
+            PeerReply::Routes(routes) => postcard::to_extend(&routes.access(), frame),
             _ => Ok(frame),
         }
     }
@@ -198,13 +199,16 @@
     /// Decodes a reply and the ID of its request.
     pub fn decode(frame: &[u8]) -> Result<(u64, PeerReply), postcard::Error> {
         let ((id, mut reply), rest): ((u64, PeerReply), &[u8]) = postcard::take_from_bytes(frame)?;
-        if let PeerReply::Targets { targets, .. } = &mut reply
-            && !rest.is_empty()
-        {
-            let software: Vec<Option<SoftwareVersion>> = postcard::from_bytes(rest)?;
-            for (target, software) in targets.iter_mut().zip(software) {
-                target.software = software;
+        match &mut reply {
+            PeerReply::Targets { targets, .. } if !rest.is_empty() => {
+                let software: Vec<Option<SoftwareVersion>> = postcard::from_bytes(rest)?;
+                for (target, software) in targets.iter_mut().zip(software) {
+                    target.software = software;
+                }
             }
+            PeerReply::Routes(routes) if rest.is_empty() => routes.lacks_access = true,
+            PeerReply::Routes(routes) => routes.set_access(postcard::from_bytes(rest)?),
+            _ => (),
         }
         Ok((id, reply))
     }
--- a/crates/rosethread_entry/src/routes.rs
+++ b/crates/rosethread_entry/src/routes.rs
@@ -9,6 +9,8 @@
 use rosethread_types::{Revision, ServiceName, Tokens};
 use serde::{Deserialize, Serialize};
 
+use crate::organisations::Organisations;
+
 /// The longest duration that routes may name: sums of it and of any clock do not overflow.
 const MAX_DURATION: Duration = Duration::from_secs(365 * 24 * 3_600);
 
@@ -66,6 +68,10 @@
     pub sticky: bool,
     /// How long turns are kept for later ones; `None` if callers send the whole history each time.
     pub history: Option<Duration>,
+    /// Whether its calls need no credential where there are organisations. Frames between hosts name
+    /// such routes in [`RoutesAccess`].
+    #[serde(skip)]
+    pub is_public: bool,
 }
 
 impl Route {
@@ -141,7 +147,7 @@
 }
 
 /// One revision of the routing table.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Routes {
     /// The revision number; zero means that nothing has been published yet.
     pub revision: Revision,
@@ -151,9 +157,44 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Limits on what callers may send.
     pub limits: ClientLimits,
+    /// The organisations, if the configuration names any. Frames between hosts hold them in
+    /// [`RoutesAccess`].
+    #[serde(skip)]
+    pub organisations: Option<Arc<Organisations>>,
+    /// Whether they came from a host of an earlier release, which doesn't know of organisations.
+    #[serde(skip)]
+    pub lacks_access: bool,
+}
+
+/// Who may use the routes; follows them in frames between hosts, where those of earlier releases don't
+/// look.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RoutesAccess {
+    organisations: Option<Arc<Organisations>>,
+    /// The host and prefix of each route whose calls need no credential.
+    public: Vec<(Arc<str>, Arc<str>)>,
 }
 
 impl Routes {
+    /// Returns who may use the routes.
+    pub(crate) fn access(&self) -> RoutesAccess {
+        let routes = self.hosts.values().flat_map(|it| it.values()).filter(|it| it.is_public);
+        RoutesAccess {
+            organisations: self.organisations.clone(),
+            public: routes.map(|it| (it.host.clone(), it.prefix.clone())).collect(),
+        }
+    }
+
+    /// Sets who may use the routes.
+    pub(crate) fn set_access(&mut self, access: RoutesAccess) {
+        self.organisations = access.organisations;
+        for (host, prefix) in access.public {
+            if let Some(route) = self.hosts.get_mut(&host).and_then(|it| it.get_mut(&prefix)) {
+                Arc::make_mut(route).is_public = true;
+            }
+        }
+    }
+
     /// Returns the longest time for which any route owes its turns; zero if none stores turns.
     pub(crate) fn longest_history(&self) -> Duration {
         let routes = self.hosts.values().flat_map(|it| it.values());
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -347,7 +347,7 @@
             (prepared.call.previous.clone(), &prepared.call.body)
         };
         let turn = FinishedTurn {
-            id: prepared.call.id.clone(),
+            id: prepared.call.turn.clone(),
             previous,
             input: input.to_vec(),
             output: std::mem::take(&mut self.output),
--- a/crates/rosethread_entry/tests/fingerprint.rs
+++ b/crates/rosethread_entry/tests/fingerprint.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use http::{HeaderMap, HeaderValue, Method};
-use rosethread_entry::{Call, Fingerprint};
+use rosethread_entry::{Call, Credential, Fingerprint, Identity};
 use tokio::time::Instant;
 
 const KEY: &[u8] = b"a key that all hosts share";
@@ -23,6 +23,10 @@
         prompt: None,
         program: None,
         previous: None,
+        previous_unscoped: None,
+        turn: "attempt-1".parse().unwrap(),
+        credential: Credential::Missing,
+        identity: Identity::Unchecked,
     }
 }
 
--- a/crates/rosethread_types/src/id.rs
+++ b/crates/rosethread_types/src/id.rs
@@ -147,6 +147,8 @@
     /// The version of the software that a target runs. What two versions of one service write does
     /// not fit together in one stream.
     SoftwareVersion;
+    /// The name of an organisation, as the operator's configuration spells it.
+    OrganisationName;
     /// An identifier of one part of a prompt.
     ///
     /// Prompts that begin with the same parts have a common prefix, which an engine can cache once.
--- a/crates/rosethread_types/src/lib.rs
+++ b/crates/rosethread_types/src/lib.rs
@@ -13,8 +13,8 @@
 
 pub use digest::Digest;
 pub use id::{
-    AttemptId, Incarnation, ProgramId, ProgramLabel, PromptPart, RequestId, SessionLabel,
-    SoftwareVersion,
+    AttemptId, Incarnation, OrganisationName, ProgramId, ProgramLabel, PromptPart, RequestId,
+    SessionLabel, SoftwareVersion,
 };
 pub use name::{
     ClassName, MemberName, ModelName, NameError, NodeName, ServiceName, StreamName, TargetName,
