--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -19,6 +19,7 @@
     entry::Entry,
     organisations::{Credential, Identity},
     ports::TargetResponse,
+    routes::Routes,
     stream::{self, EventReceiver},
     suspects,
 };
@@ -130,10 +131,15 @@
     /// Forwards a call to a target and returns the response, or the reason for a refusal.
     ///
     /// Dropping the future cancels the call and tells the target to stop.
-    pub async fn serve(self: &Arc<Entry>, call: Call) -> Result<CallResponse, Refusal> {
+    pub async fn serve(self: &Arc<Entry>, mut call: Call) -> Result<CallResponse, Refusal> {
         let _guard = self.count_call();
+        let routes = self.routes();
+        let identified = access::identify_caller(self, &routes, &mut call);
         let mut log_guard = CallLogGuard::new(self, &call);
-        let result = run_call(self, call).await;
+        let result = match identified {
+            Ok(()) => run_call(self, routes, call).await,
+            Err(refusal) => Err(refusal),
+        };
         log_guard.is_finished = true;
         if let Err(refusal) = &result {
             log_guard.log_refusal(refusal);
@@ -151,6 +157,7 @@
     id: RequestId,
     program: Option<ProgramLabel>,
     previous: Option<RequestId>,
+    identity: Identity,
     route: Arc<str>,
     arrived: Instant,
     is_finished: bool,
@@ -165,6 +172,7 @@
             id: call.id.clone(),
             program: call.program.as_ref().map(|it| it.program.clone()),
             previous: call.previous.clone(),
+            identity: call.identity.clone(),
             route: route.unwrap_or_default(),
             arrived: call.arrived,
             is_finished: false,
@@ -188,6 +196,7 @@
         let (entry, time) = (&self.entry, self.arrived.elapsed());
         entry.metrics.observe_call("refused", outcome, time);
         info!(entry.logger, "call: refused"; "id" => %self.id, "program" => self.program(),
+            "organisation" => self.identity.name(),
             "route" => &*self.route, "previous" => self.previous(), "outcome" => outcome,
             "reason" => refusal.reason.code(), "detail" => &refusal.detail,
             "retry_after_ms" => refusal.retry_after.map_or(0, |it| it.as_millis() as u64),
@@ -210,9 +219,11 @@
 }
 
 /// Prepares and dispatches a call, unless this host has to end before.
-async fn run_call(entry: &Arc<Entry>, mut call: Call) -> Result<CallResponse, Refusal> {
-    let routes = entry.routes();
-    access::identify_caller(entry, &routes, &mut call)?;
+async fn run_call(
+    entry: &Arc<Entry>,
+    routes: Arc<Routes>,
+    call: Call,
+) -> Result<CallResponse, Refusal> {
     suspects::refuse_deadly(entry, &call)?;
     let prepared = tokio::select! {
         biased;
