Targets get calls in proportion to their speed

Cause: placement took all engines of a service for equally fast. Where a quarter of them runs at under half the speed of the rest, programs there miss their objective while fast engines have room.

Change: the pauses between the events of completed streams tell each target's speed against the mean of its service, with observations that fade within some calls and seconds. The cost of a target includes the longer output and prefill, and of two drawn targets the one that is done sooner is taken. 'call: ended' has slowness_percent.

--- a/crates/rosethread_entry/src/call.rs
+++ b/crates/rosethread_entry/src/call.rs
@@ -304,7 +304,7 @@
                     dispatched.in_flight.record_failure(prepared.entry.now());
                     return Err(detail);
                 }
-                dispatched.in_flight.record_success();
+                dispatched.in_flight.record_success(prepared.entry.now());
                 return Ok(buffered.freeze());
             }
             Err(_) => {
--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -194,6 +194,7 @@
             "granted" => self.grant.as_ref().map_or(0, |it| it.tokens),
             "running" => attempts.estimate.running, "to_read" => attempts.estimate.uncached_tokens,
             "token_us" => (attempts.estimate.per_token_s * 1e6) as u64,
+            "slowness_percent" => (attempts.estimate.slowness * 100.0) as i64,
             "first_ms" => first_event.map_or(0, |it| it.as_millis() as u64),
             "ms" => time.as_millis() as u64,
             "targets_age_ms" => entry.targets_age_ms());
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -51,6 +51,8 @@
     pub(crate) uncached_tokens: u64,
     /// Prefill time of one prompt token, in seconds.
     pub(crate) per_token_s: f64,
+    /// How much longer a call takes than at a target of the mean speed, as a fraction.
+    pub(crate) slowness: f64,
 }
 
 /// Chooses a ready target of `service` that runs allowed software and is not in `excluded`.
@@ -83,11 +85,13 @@
     usable.rotate_left(offset);
     let remote = entry.remote_reports();
     let per_token_s = entry.loads.prefill_estimator(service).per_token_s();
+    let slowness = slowness(entry, service, &usable);
     let loads = entry.loads.lock();
     let default_stats = TargetStats::default();
     let mut candidates: Vec<Candidate> = usable
         .iter()
-        .map(|it| {
+        .zip(slowness)
+        .map(|(it, slowness)| {
             let stats = loads.get(&it.name).unwrap_or(&default_stats);
             let remote_running = remote.running.get(&it.name).copied().unwrap_or(0);
             let prompt = call.prompt.as_ref();
@@ -96,6 +100,7 @@
             let room = find_room(entry, it, &remote);
             Candidate {
                 prefill_rate: 1.0 / per_token_s,
+                slowness,
                 is_unavailable: candidate.is_unavailable || room == Room::None,
                 has_share: room == Room::OwnShare,
                 ..candidate
@@ -122,12 +127,21 @@
         // Another call has taken the rest of this host's share since.
         candidates[placement.index].is_unavailable = true;
     };
-    let Candidate { running, cached, .. } = candidates[placement.index];
+    let Candidate { running, cached, slowness, .. } = candidates[placement.index];
     let uncached_tokens = request.prompt_tokens.saturating_sub(cached);
-    let estimate = Estimate { running, uncached_tokens, per_token_s };
+    let estimate = Estimate { running, uncached_tokens, per_token_s, slowness };
     Some(Choice { target: usable[placement.index].clone(), max_connections, estimate })
 }
 
+/// Returns the slowness of each of `targets`; zero for all if the settings don't ask for it.
+fn slowness(entry: &Entry, service: &ServiceName, targets: &[&Target]) -> Vec<f64> {
+    let now = entry.now();
+    let speeds = entry.loads.lock_speeds();
+    let speeds = speeds.get(service).filter(|_| entry.reloadable().target_speeds);
+    let slowness = |it: &&Target| speeds.map_or(0.0, |speeds| speeds.slowness(&it.name, now));
+    targets.iter().map(slowness).collect()
+}
+
 /// Returns whether a target's limit, if it has one, leaves this host a request to send.
 fn find_room(entry: &Entry, target: &Target, remote: &RemoteReports) -> Room {
     entry.limits.find_room(target, &remote.limits, entry.sharers(remote), entry.now())
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -232,7 +232,7 @@
         let is_changed = reloadable != *self.reloadable();
         info!(self.logger, "settings: reloaded"; "changed" => is_changed,
             "processor" => reloadable.processor, "policy" => ?reloadable.policy,
-            "part_copies" => reloadable.part_copies,
+            "part_copies" => reloadable.part_copies, "target_speeds" => reloadable.target_speeds,
             "writes_per_s" => reloadable.writes_per_s, "grace_s" => reloadable.bounds.grace_s,
             "keep_s" => reloadable.bounds.keep_s);
         self.reloadable.send_replace(Arc::new(reloadable));
--- a/crates/rosethread_entry/src/load.rs
+++ b/crates/rosethread_entry/src/load.rs
@@ -9,7 +9,7 @@
 };
 
 use rosethread_membership::{ClusterView, TargetLimit, TargetLoad};
-use rosethread_policy::{PartDemand, PrefillEstimator, TargetHealth};
+use rosethread_policy::{PartDemand, PrefillEstimator, TargetHealth, TargetSpeeds};
 use rosethread_types::{NodeName, PromptPart, ServiceName, TargetName};
 use tokio::time::Instant;
 
@@ -26,6 +26,9 @@
 /// are evicted.
 const MAX_CACHED_PARTS: usize = 256;
 
+/// The pauses between events from which a stream tells the speed of its target.
+const MIN_PAUSES: u32 = 2;
+
 /// What this host has observed of one target.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TargetStats {
@@ -60,6 +63,8 @@
     targets: Arc<Mutex<BTreeMap<TargetName, TargetStats>>>,
     /// Estimates the prefill time of each service's engines.
     prefill_estimators: Arc<Mutex<BTreeMap<ServiceName, PrefillEstimator>>>,
+    /// The speeds of each service's targets.
+    speeds: Arc<Mutex<BTreeMap<ServiceName, TargetSpeeds>>>,
     /// Counts the shared prompt parts in the calls to each service.
     part_demands: Arc<Mutex<BTreeMap<ServiceName, PartDemand>>>,
 }
@@ -79,6 +84,11 @@
         prefill_estimators.get(service).copied().unwrap_or_default()
     }
 
+    /// Locks the speeds of the targets of all services.
+    pub(crate) fn lock_speeds(&self) -> MutexGuard<'_, BTreeMap<ServiceName, TargetSpeeds>> {
+        self.speeds.lock().expect("no holder of the target speeds lock panics")
+    }
+
     /// Locks the demand for prompt parts at all services.
     pub(crate) fn lock_demands(&self) -> MutexGuard<'_, BTreeMap<ServiceName, PartDemand>> {
         self.part_demands.lock().expect("no holder of the part demands lock panics")
@@ -117,6 +127,8 @@
             measures_prefill: choice.estimate.running < target.slots,
             started: Instant::now(),
             first_output: None,
+            events: 0,
+            last_event: None,
             is_recorded: false,
         }
     }
@@ -130,6 +142,7 @@
             *stats = TargetStats::default();
             stats.health.outstanding = outstanding;
         }
+        self.lock_speeds().values_mut().for_each(|it| it.forget(target));
     }
 
     /// Returns this host's requests in flight per target, for its reports to other hosts.
@@ -220,6 +233,9 @@
     started: Instant,
     /// When the first part of the target's output arrived.
     first_output: Option<Instant>,
+    /// The stream events that have arrived, and when the last one did.
+    events: u32,
+    last_event: Option<Instant>,
     /// Whether the outcome has been recorded.
     is_recorded: bool,
 }
@@ -235,9 +251,11 @@
         self.first_output.get_or_insert_with(Instant::now);
     }
 
-    /// Records the arrival of a stream event. Only the first one counts, as a prefill time sample.
+    /// Records the arrival of a stream event. The first one counts as a prefill time sample.
     pub(crate) fn record_event(&mut self) {
         self.record_output();
+        self.events += 1;
+        self.last_event = Some(Instant::now());
         if !std::mem::replace(&mut self.measures_prefill, false) {
             return;
         }
@@ -253,8 +271,19 @@
             .observe(self.uncached_tokens, first);
     }
 
-    /// Records that the target has completed the request.
-    pub(crate) fn record_success(&mut self) {
+    /// Returns the mean pause between the events of the stream, if there are enough of them.
+    fn mean_pause(&self) -> Option<Duration> {
+        let time = self.last_event?.saturating_duration_since(self.first_output?);
+        let pauses = self.events.checked_sub(1).filter(|it| MIN_PAUSES <= *it)?;
+        Some(time / pauses)
+    }
+
+    /// Records that the target has completed the request, at `now`.
+    pub(crate) fn record_success(&mut self, now: Duration) {
+        if let Some(pause) = self.mean_pause().filter(|_| !self.is_recorded) {
+            let mut speeds = self.loads.lock_speeds();
+            speeds.entry(self.service.clone()).or_default().observe(&self.target, pause, now);
+        }
         let time = self.started.elapsed();
         self.record_outcome(|it| it.record_success(time));
     }
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -34,6 +34,10 @@
     /// don't agree on holders, and go by what they have sent themselves.
     #[serde(default = "default_part_copies")]
     pub part_copies: f64,
+    /// Whether calls go to targets in proportion to their speed, as the pauses in their streams show
+    /// it.
+    #[serde(default)]
+    pub target_speeds: bool,
     /// Addresses of hosts to contact first. Only the IP addresses count: all hosts receive
     /// heartbeats on the same port.
     #[serde(default)]
@@ -111,6 +115,8 @@
     pub policy: PolicyName,
     /// See [`EntrySettings::part_copies`].
     pub part_copies: f64,
+    /// See [`EntrySettings::target_speeds`].
+    pub target_speeds: bool,
     /// See [`PlatformSettings::writes_per_s`].
     pub writes_per_s: f64,
     /// See [`EntrySettings::bounds`].
@@ -124,6 +130,7 @@
             processor: self.processor,
             policy: self.policy,
             part_copies: self.part_copies,
+            target_speeds: self.target_speeds,
             writes_per_s: self.platform.writes_per_s,
             bounds: self.bounds.clone(),
         }
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -188,7 +188,8 @@
                 next = self.next_event() => next?,
             };
         }
-        self.dispatched.in_flight.record_success();
+        let now = self.prepared.entry.now();
+        self.dispatched.in_flight.record_success(now);
         suspects::clear_completed(&self.prepared);
         self.store_turn().await?;
         match sender.send(StreamItem::End).await {
--- a/crates/rosethread_policy/src/lib.rs
+++ b/crates/rosethread_policy/src/lib.rs
@@ -19,6 +19,7 @@
 mod reach;
 mod replicas;
 mod retry;
+mod speed;
 mod spread;
 mod suspects;
 
@@ -36,6 +37,7 @@
 pub use reach::{DirectPath, PathLoss, Reach};
 pub use replicas::select_replicas;
 pub use retry::{RetryBudget, backoff};
+pub use speed::TargetSpeeds;
 pub use spread::{HostLoad, order_hosts};
 pub use suspects::{MAX_CRASHES, Suspects, Suspicion, was_starting};
 
--- a/crates/rosethread_policy/src/place.rs
+++ b/crates/rosethread_policy/src/place.rs
@@ -33,6 +33,9 @@
     pub network_s: f64,
     /// The slowdown of each sequence in a full batch, as a fraction of `service_s`.
     pub batch_slowdown: f64,
+    /// How much longer a call takes than at a target of the service's mean speed, as a fraction of that
+    /// time; see [`TargetSpeeds`](crate::TargetSpeeds).
+    pub slowness: f64,
     /// Whether the target must not be chosen, because it fails or has no free connection.
     pub is_unavailable: bool,
     /// Whether this host has a share of its own in the rate that the target takes. Then other hosts
@@ -157,7 +160,10 @@
         return None;
     }
     let pair = draw_two(usable, random);
-    let work = |it: &Candidate| f64::from(it.work()) / f64::from(it.slots.max(1)) + it.network_s;
+    let work = |it: &Candidate| {
+        let load = f64::from(it.work()) / f64::from(it.slots.max(1));
+        load * (1.0 + it.slowness) + it.slowness + it.network_s
+    };
     let own_shares = usable.iter().filter(|(_, it)| it.has_share).copied();
     let (index, _) =
         pair.into_iter().chain(own_shares).min_by(|a, b| work(a.1).total_cmp(&work(b.1)))?;
@@ -179,8 +185,9 @@
     max_cached: u64,
 ) -> f64 {
     let uncached = request.prompt_tokens.saturating_sub(candidate.cached) as f64;
-    let prefill_s = uncached / candidate.prefill_rate.max(1.0);
-    let latency_s = queue_wait_s(candidate) + prefill_s + candidate.network_s;
+    let prefill_s = uncached / candidate.prefill_rate.max(1.0) * (1.0 + candidate.slowness);
+    let output_s = candidate.service_s * candidate.slowness;
+    let latency_s = queue_wait_s(candidate) + prefill_s + output_s + candidate.network_s;
     // Prefill stalls all other calls in the engine's batch.
     let stall_s = prefill_s * f64::from(candidate.running.min(candidate.slots));
     let wasted_tokens = wasted_tokens(candidate, request, max_cached);
--- a/crates/rosethread_policy/tests/decisions.rs
+++ b/crates/rosethread_policy/tests/decisions.rs
@@ -33,6 +33,7 @@
         service_s: 0.5,
         network_s: 0.0,
         batch_slowdown: 0.05,
+        slowness: 0.0,
         has_share: false,
     });
     proptest::collection::vec(one, 0..20)
