The own interface takes all targets for equally fast

It has no streams through routes from which speeds are learned; the field that placement got for them is zero there.

--- a/crates/rosethread_node/src/owner/place.rs
+++ b/crates/rosethread_node/src/owner/place.rs
@@ -136,6 +136,7 @@
         network_s: if is_same_zone { 0.0 } else { CROSS_ZONE_LATENCY_S },
         batch_slowdown: FULL_BATCH_SLOWDOWN,
         is_unavailable: health.breaker.is_open(core.now()),
+        slowness: 0.0,
         has_share: false,
     }
 }
