Limits of organisations are kept by all hosts together

Cause: the limits of a configuration were read and nobody counted.

Change: one owner host per organisation (rendezvous over live, strong hosts), whose pool in memory grants leases of 250 ms; the holder asks beside the other checks of a call, within 100 ms, and else uses a small share of its own. New owners start without the burst; owners that see a part of the hosts grant that part; programs under way go before new ones. Refusals are 429 with the time at which there is room.

--- a/crates/rosethread_entry/src/call/dispatch.rs
+++ b/crates/rosethread_entry/src/call/dispatch.rs
@@ -162,6 +162,7 @@
             doubt_since: entry.paths.doubt_since().map(|it| entry.started_at + it),
         };
         let connector = PathConnector(entry);
+        prepared.set_spent(true);
         let sent_at = entry.now();
         let sent =
             timeout_at(prepared.deadline, entry.upstream.send(&target, request, &connector)).await;
@@ -203,6 +204,7 @@
             SendError::Replaced => entry.forget_target(&target.name),
             SendError::Full | SendError::NotRun(_) => (),
         }
+        prepared.set_spent(attempts.possible_runs != 0);
         drop(in_flight);
         info!(entry.logger, "call: turned down"; "id" => %prepared.call.id,
             "target" => %target.name, "error" => %error, "running" => choice.estimate.running,
--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -19,6 +19,7 @@
     history,
     ledger::{GrantId, GrantRequest, Settlement, Verdict},
     origins::{self, AllowedSoftware},
+    quota::{self, QuotaToken},
     registry::Target,
     routes::{Route, Routes},
     shards::shard_of,
@@ -76,6 +77,8 @@
     pub(crate) rank: u8,
     /// The granted tokens, for a turn of a program with a budget.
     grant: Option<Grant>,
+    /// The token of its organisation's limit, if it has one.
+    token: Option<QuotaToken>,
 }
 
 impl PreparedCall {
@@ -106,8 +109,13 @@
         refuse_during_outage(entry, &call, &route, timeout)?;
         let allowed = origins::find_allowed(entry, &call, &service).await?;
         let shard = call.program.as_ref().map_or(0, |it| shard_of(entry, &it.program));
-        let (body, starts_chain) = target_body(entry, &call, &route, shard, deadline).await?;
-        let admission = admit(entry, &call, &route, shard, deadline).await?;
+        let checks = async {
+            let body = target_body(entry, &call, &route, shard, deadline).await?;
+            Ok((body, admit(entry, &call, &route, shard, deadline).await?))
+        };
+        // A refusal of one drops the other, and what it was granted goes back.
+        let token = quota::take_token(entry, &routes, &call);
+        let (token, ((body, starts_chain), admission)) = tokio::try_join!(token, checks)?;
         let is_new = admission.grant.is_some() && !admission.underway && call.previous.is_none();
         if let Some(load) = is_new.then(|| overload(entry, &service)).flatten() {
             let (running, slots) = (load.running, load.slots);
@@ -128,6 +136,7 @@
             body,
             starts_chain,
             shard,
+            token,
         })
     }
 
@@ -149,6 +158,13 @@
         }
     }
 
+    /// Records whether a target may have run the call, which counts against its organisation's limit.
+    pub(crate) fn set_spent(&self, is_spent: bool) {
+        if let Some(token) = &self.token {
+            token.set_spent(is_spent);
+        }
+    }
+
     /// Records the target that runs the call, for the program's owner.
     pub(crate) fn record_target(&self, target: &TargetName) {
         if let Some(grant) = &self.grant {
--- a/crates/rosethread_entry/src/control.rs
+++ b/crates/rosethread_entry/src/control.rs
@@ -16,7 +16,7 @@
 use rosethread_membership::{AuthKeys, DetectorConfig};
 use rosethread_runtime::{MembershipActor, MembershipParts, start_membership};
 
-use crate::{entry::Entry, history, shards};
+use crate::{entry::Entry, history, quota, shards};
 
 pub(crate) use periodic::program_retention;
 pub(crate) use targets::{exclude_leaving, targets_reply};
@@ -40,6 +40,7 @@
     tasks.spawn_control(software::follow_record(entry.clone()));
     tasks.spawn_control(periodic::update_summary(entry.clone(), members.clone()));
     tasks.spawn(periodic::expire_unused(entry.clone()));
+    tasks.spawn(quota::update_pools(entry.clone()));
     tasks.spawn(shards::repeat_claims(entry.clone()));
     tasks.spawn(history::refresh_chains(entry.clone()));
     members
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -36,6 +36,7 @@
     paths::Paths,
     peers::PeerClient,
     ports::{RoutesSource, SoftwareRecord, TargetsSource, Upstream},
+    quota::Quotas,
     registry::{Target, TargetRegistry},
     routes::Routes,
     settings::{EntrySettings, ReloadableSettings},
@@ -138,6 +139,8 @@
     pub(crate) loads: LoadTracker,
     /// The request rates that targets in need have named.
     pub(crate) limits: TargetLimits,
+    /// The limits of organisations.
+    pub(crate) quotas: Quotas,
     /// The versions of software at which streams began.
     pub(crate) origins: Origins,
     /// The versions of software of each service.
@@ -182,6 +185,7 @@
             cutoff: OnceLock::new(),
             loads: LoadTracker::default(),
             limits: TargetLimits::default(),
+            quotas: Quotas::default(),
             origins: Origins::default(),
             software: watch::Sender::new(Arc::default()),
             software_history: SoftwareHistory::default(),
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -37,6 +37,7 @@
 mod paths;
 mod peers;
 pub mod ports;
+mod quota;
 mod registry;
 mod routes;
 mod sequence;
@@ -64,11 +65,12 @@
 };
 pub use paths::{LateReader, NoPath, PathRequest, PathStream, Probe, limit_silence};
 pub use peers::{PeerClient, PeerReply, PeerRequest, TcpPeerClient, serve_peers};
+pub use quota::{AskProgram, QuotaAsk, QuotaReply};
 pub use registry::{REREGISTRATION_GRACE, Target, TargetRegistry, TargetStatus};
 pub use routes::{ClientLimits, EngineProfile, Route, RouteKind, Routes, Service, WeightedService};
 pub use sequence::{EventOrder, EventSequence};
 pub use settings::{
-    EntryAddresses, EntrySettings, PlatformSettings, ReloadableSettings, TimeLimits,
+    EntryAddresses, EntrySettings, PlatformSettings, QuotaSettings, ReloadableSettings, TimeLimits,
 };
 pub use shards::YieldedAccounts;
 pub use stream::{EventReceiver, StreamInterrupted};
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -35,6 +35,11 @@
     /// Number of calls whose credential was checked, by result: `known`, `missing`, `malformed` or
     /// `unknown`.
     pub credentials: IntCounterVec,
+    /// Number of calls weighed against their organisation's limit, by result: `granted` (the owner was
+    /// asked), `leased`, `local` (the owner did not decide), `refused-new` or `refused`.
+    pub quota: IntCounterVec,
+    /// Number of questions to other hosts about the limits of organisations.
+    pub quota_asks: IntCounter,
     /// Number of appends of turns and ledger records to the shared log, including retries.
     pub appends: IntCounter,
     /// Number of turns that this host copied since they outlive their records in the log.
@@ -114,6 +119,15 @@
                 "Calls whose credential was checked, by result.",
                 "result",
             ),
+            quota: counter_vec(
+                "rosethread_entry_quota_total",
+                "Calls weighed against their organisation's limit, by result.",
+                "result",
+            ),
+            quota_asks: counter(
+                "rosethread_entry_quota_asks_total",
+                "Questions to other hosts about the limits of organisations.",
+            ),
             sends: counter_vec(
                 "rosethread_entry_sends_total",
                 "Sends to targets, by result.",
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -21,6 +21,7 @@
 use crate::{
     ledger::{GrantRequest, Ledger, Settlement, Verdict},
     paths::{NoPath, PathRequest, Probe},
+    quota::{QuotaAsk, QuotaReply},
     registry::Target,
     routes::Routes,
     shards::YieldedAccounts,
@@ -125,6 +126,8 @@
         /// The digest of the attempt that brought the first event, if the caller named it.
         key: Option<u64>,
     },
+    /// Grant tokens of an organisation's limit, as its owner.
+    AskQuota(QuotaAsk),
 }
 
 impl PeerRequest {
@@ -179,6 +182,8 @@
         /// Whether these were all when the request arrived.
         is_certain: bool,
     },
+    /// The decision about an organisation's limit.
+    Quota(QuotaReply),
 }
 
 impl PeerReply {
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -20,6 +20,7 @@
     entry::Entry,
     grants, history, paths,
     peers::{PeerReply, PeerRequest, frame_codec},
+    quota,
     shards::{self, NotOwned},
     software::software_reply,
 };
@@ -128,6 +129,7 @@
             PeerReply::Probed(paths::answer_probe(entry, &request).await)
         }
         PeerRequest::ConfirmSoftware { service, key } => software_reply(entry, &service, key).await,
+        PeerRequest::AskQuota(ask) => PeerReply::Quota(quota::decide(entry, &ask)),
         PeerRequest::OpenPath(_) => {
             PeerReply::Unable("a path needs a connection of its own".to_owned())
         }
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -46,6 +46,23 @@
     pub platform: PlatformSettings,
     /// The time limits that the platform's operators have agreed on with their users.
     pub bounds: TimeLimits,
+    /// What the calls of organisations with a limit are counted against. Without it, hosts keep to the
+    /// limits themselves.
+    #[serde(default)]
+    pub quota: Option<QuotaSettings>,
+}
+
+/// What the limits of organisations mean: in any window, all hosts together send at most `(rate * window_s +
+/// burst) * (1 + overage) + slack` calls of one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QuotaSettings {
+    /// The window, in seconds.
+    pub window_s: f64,
+    /// The part of a limit that may be passed, such as 0.1.
+    pub overage: f64,
+    /// The calls in addition to that.
+    pub slack: f64,
 }
 
 /// The addresses that a node listens on.
@@ -115,6 +132,8 @@
     pub writes_per_s: f64,
     /// See [`EntrySettings::bounds`].
     pub bounds: TimeLimits,
+    /// See [`EntrySettings::quota`].
+    pub quota: Option<QuotaSettings>,
 }
 
 impl EntrySettings {
@@ -126,6 +145,7 @@
             part_copies: self.part_copies,
             writes_per_s: self.platform.writes_per_s,
             bounds: self.bounds.clone(),
+            quota: self.quota.clone(),
         }
     }
 
@@ -201,12 +221,25 @@
         let keep = self.bounds.keep_s;
         let rule = "must be from 0 to 3600";
         problems.require((0.0..=3_600.0).contains(&keep), "bounds.keep_s", keep, rule);
+        self.require_quota(&mut problems);
         let keys = KeySettings::decode(&self.keys.shared);
         let has_valid_keys = !keys.is_empty() && keys.len() == self.keys.shared.len();
         problems.require(has_valid_keys, "keys.shared", "(hidden)", "must be hexadecimal keys");
         problems.into_result(())
     }
 
+    fn require_quota(&self, problems: &mut Problems) {
+        let Some(QuotaSettings { window_s, overage, slack }) = self.quota else {
+            return;
+        };
+        let rule = "must be from 1 to 3600";
+        problems.require((1.0..=3_600.0).contains(&window_s), "quota.window_s", window_s, rule);
+        let rule = "must be from 0 to 10";
+        problems.require((0.0..=10.0).contains(&overage), "quota.overage", overage, rule);
+        let rule = "must be from 0 to 1000000";
+        problems.require((0.0..=1e6).contains(&slack), "quota.slack", slack, rule);
+    }
+
     /// Returns the period of the targets' reports to the registry.
     pub fn report_period(&self) -> Duration {
         Duration::from_millis(self.platform.report_ms)
--- a/crates/rosethread_policy/src/lib.rs
+++ b/crates/rosethread_policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod pause;
 mod place;
 mod prefill;
+mod quota;
 mod rate;
 mod reach;
 mod replicas;
@@ -32,6 +33,9 @@
 pub use pause::{CacheRetention, PauseForecast, choose_retention};
 pub use place::{Candidate, Placement, PlacementRequest, Weights, choose_target};
 pub use prefill::PrefillEstimator;
+pub use quota::{
+    Holder, LEASE_LIFE, LocalShare, Pool, PoolAsk, PoolReply, QuotaLimit, QuotaRule, Returned,
+};
 pub use rate::{TokenBucket, local_share};
 pub use reach::{DirectPath, PathLoss, Reach};
 pub use replicas::select_replicas;
