--- a/crates/rosethread_policy/src/quota/pool.rs
+++ b/crates/rosethread_policy/src/quota/pool.rs
@@ -14,6 +14,10 @@
 /// The most that is kept for programs under way, in seconds of the rate.
 const RESERVE_S: f64 = 1.0;
 
+/// The part of a pool that is kept for programs under way at most, so that new ones are let in where the
+/// pool is full.
+const RESERVE_PART: f64 = 0.75;
+
 /// A question for tokens: one for a call, and more for calls to come.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolAsk {
@@ -158,7 +162,7 @@
     /// Returns the tokens that are kept for programs under way.
     fn reserve(&mut self, now: Duration) -> f64 {
         let expected = self.programs.expected_calls(now);
-        let most = (self.rate() * RESERVE_S).min((self.capacity() - 1.0) / 2.0);
+        let most = (self.rate() * RESERVE_S).min((self.capacity() - 1.0) * RESERVE_PART);
         expected.min(most.max(0.0))
     }
 
