The next owner settles the turns in progress of a host that stops

Cause: at a planned stop the open grants of a shard were recorded as part of a ceiling only, so the next owner counted them as uncertain for good, and their settlements ended at hosts that no longer owned the shard.

Change: LedgerRecord::Open, appended at the enum's end, after a program's balance in the records of a release. The next owner replays it as an open grant. A host that stops answers a settlement with the next owner's name; one that comes before the claim is kept for 10 s. A release that does not reach the log leaves its balances at the host for claimants. A Claim turns open grants of before into uncertain tokens. Yield replies leave Open out: the last release could not decode.

--- a/crates/rosethread_entry/src/ended_grants.rs
+++ b/crates/rosethread_entry/src/ended_grants.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use crate::ledger::GrantId;
+use crate::ledger::{GrantId, Settlement};
 
 /// How long an ended grant is remembered: longer than a request can wait while its shard is claimed
 /// and the records of the shard are read.
@@ -16,6 +16,13 @@
 /// The most ended grants that are remembered for one shard; beyond it the oldest are forgotten.
 const MAX_ENDED: usize = 4_096;
 
+/// How long the settlement of a turn is kept for a shard that this host does not own: the next owner of a
+/// released shard claims it when a turn of it arrives.
+const EARLY_TTL: Duration = Duration::from_secs(10);
+
+/// The most such settlements that are kept for one shard.
+const MAX_EARLY: usize = 256;
+
 /// The ended grants of one shard, whichever host granted them.
 ///
 /// Times are durations since the start of the process.
@@ -24,6 +31,8 @@
     /// The grants with the times of their ends.
     oldest_first: VecDeque<(Duration, GrantId)>,
     grants: BTreeSet<GrantId>,
+    /// Settlements that came before this host owned the shard, with the times of their arrival.
+    early: VecDeque<(Duration, Settlement)>,
 }
 
 impl EndedGrants {
@@ -44,6 +53,23 @@
         is_new
     }
 
+    /// Keeps a settlement for the case that this host becomes the shard's owner while the turn has an open
+    /// grant.
+    pub fn keep_early(&mut self, settlement: Settlement, now: Duration) {
+        self.early.push_back((now, settlement));
+        while self.early.front().is_some_and(|(time, _)| *time + EARLY_TTL <= now)
+            || MAX_EARLY < self.early.len()
+        {
+            self.early.pop_front();
+        }
+    }
+
+    /// Removes the settlement of a grant that came before this host owned the shard.
+    pub fn take_early(&mut self, grant: GrantId) -> Option<Settlement> {
+        let index = self.early.iter().position(|(_, it)| it.grant == grant)?;
+        self.early.remove(index).map(|(_, it)| it)
+    }
+
     /// Returns whether the grant is known to have ended.
     pub fn contains(&self, grant: GrantId) -> bool {
         self.grants.contains(&grant)
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -12,10 +12,10 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
-    entry::Entry,
+    entry::{Entry, Phase},
     ledger::{GrantRequest, Settlement, Verdict},
     peers::{PeerError, PeerReply, PeerRequest},
-    shards::{self, NotOwned, Shard, candidates_for, responsible_for},
+    shards::{self, NotOwned, Shard, candidates_for, next_owner, responsible_for},
 };
 
 /// The maximum time to wait for an owner's decision before the turn is refused.
@@ -245,25 +245,35 @@
 }
 
 /// Settles a turn's grant, as the owner or as a host that was asked for its tokens.
-pub(crate) fn settle(entry: &Entry, index: u32, settlement: &Settlement) {
+///
+/// Returns the next owner if this host is stopping and no longer has the accounts.
+pub(crate) fn settle(entry: &Entry, index: u32, settlement: &Settlement) -> Option<NodeName> {
     let now = entry.now();
     let (is_new, was_open) = {
         let mut ended = entry.shards.ended();
-        let is_new = ended.entry(index).or_default().insert(settlement.grant, now);
+        let ended = ended.entry(index).or_default();
+        let is_new = ended.insert(settlement.grant, now);
         // A settlement that is sent again, since its reply was lost, counts once.
         let shard = entry.shards.get(index).filter(|_| is_new);
         let was_open = shard.as_ref().is_some_and(|it| it.ledger().settle(settlement, now));
-        if let Some(shard) = shard {
-            shard.settled.notify_waiters();
+        match shard {
+            Some(shard) => shard.settled.notify_waiters(),
+            None if is_new => ended.keep_early(settlement.clone(), now),
+            None => (),
         }
         (is_new, was_open)
     };
+    if !was_open && Phase::Serving < entry.phase() {
+        let next = entry.shards.last_owner(index).or_else(|| next_owner(entry, index));
+        return next.filter(|it| *it != entry.settings.node);
+    }
     // A turn that was refused has no open grant and has used nothing, so it is not logged.
     if is_new && !was_open && settlement.used != 0 {
         info!(entry.logger, "grants: a turn ended under another owner"; "shard" => index,
             "program" => %settlement.program, "id" => %settlement.request,
             "used" => settlement.used);
     }
+    None
 }
 
 /// Sends a settlement to the owner and to all hosts that were asked, in the background.
@@ -280,7 +290,7 @@
         let mut notified = BTreeSet::new();
         for attempt in 0..SETTLE_ATTEMPTS {
             // The shard may have changed its owner since the last attempt.
-            let last = entry.shards.last_owner(shard);
+            let last = entry.shards.last_owner(shard).filter(|it| entry.view().is_running(it));
             hosts.extend(last.or_else(|| responsible_for(&entry, shard)));
             let remaining: Vec<NodeName> = hosts.difference(&notified).cloned().collect();
             let results = join_all(
@@ -289,7 +299,11 @@
             let mut is_done = true;
             for (host, result) in remaining.iter().zip(results.await) {
                 match result {
-                    Ok(()) => drop(notified.insert(host.clone())),
+                    Ok(next) => {
+                        notified.insert(host.clone());
+                        is_done &= next.as_ref().is_none_or(|it| notified.contains(it));
+                        hosts.extend(next);
+                    }
                     Err(error) if attempt + 1 == SETTLE_ATTEMPTS => {
                         warn!(entry.logger, "grants: could not send a settlement to a host";
                             "program" => %settlement.program, "id" => %settlement.request,
@@ -306,22 +320,25 @@
     });
 }
 
-/// Sends a settlement to one host; a host that is no longer known does not need it.
+/// Sends a settlement to one host, and returns the one that has taken over from it, if it says so; a host
+/// that is no longer known does not need it.
 async fn send_settlement(
     entry: &Entry,
     shard: u32,
     host: &NodeName,
     settlement: &Settlement,
-) -> Result<(), PeerError> {
+) -> Result<Option<NodeName>, PeerError> {
     if *host == entry.settings.node {
-        settle(entry, shard, settlement);
-        return Ok(());
+        return Ok(settle(entry, shard, settlement));
     }
     let Some(contact) = entry.view().get(host).map(|it| it.contact.peer) else {
         debug!(entry.logger, "grants: skipped a settlement for a host that is no longer known";
             "host" => %host, "program" => %settlement.program, "id" => %settlement.request);
-        return Ok(());
+        return Ok(None);
     };
     let request = PeerRequest::Settle { shard, settlement: settlement.clone() };
-    entry.peers.request(contact, request).await.map(drop)
+    match entry.peers.request(contact, request).await? {
+        PeerReply::OwnedBy(next) => Ok(Some(next)),
+        _ => Ok(None),
+    }
 }
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -95,6 +95,12 @@
         self.open.values().map(|it| it.tokens).sum()
     }
 
+    /// Counts the turns in progress as spent by an earlier owner.
+    fn forget_open(&mut self) {
+        self.uncertain += self.open_tokens();
+        self.open.clear();
+    }
+
     fn committed(&self) -> Tokens {
         self.spent + self.uncertain + self.open_tokens()
     }
@@ -147,7 +153,11 @@
     /// Applies a record of an earlier owner; records have to be replayed in the order of the log.
     pub fn replay(&mut self, record: &LedgerRecord) {
         match record {
-            LedgerRecord::Claim { epoch, .. } => drop(self.earlier_epochs.insert(*epoch)),
+            LedgerRecord::Claim { epoch, .. } => {
+                self.earlier_epochs.insert(*epoch);
+                // This owner may have settled the turns in progress, and granted what they returned.
+                self.accounts.values_mut().for_each(Account::forget_open);
+            }
             LedgerRecord::Released { epoch } => drop(self.earlier_epochs.remove(epoch)),
             LedgerRecord::Bounded { epoch } => drop(self.bounded_epochs.insert(*epoch)),
             LedgerRecord::Unrecorded { program, budget } => {
@@ -169,8 +179,15 @@
                 account.spent = *tokens;
                 account.ceiling = *tokens;
                 account.uncertain = 0;
+                account.open.clear();
                 account.is_underway = true;
             }
+            LedgerRecord::Open { program, request, grant, tokens } => {
+                let account = self.accounts.entry(program.clone()).or_default();
+                account.uncertain = account.uncertain.saturating_sub(*tokens);
+                let open = OpenGrant { tokens: *tokens, grant: *grant };
+                account.open.insert(request.clone(), open);
+            }
         }
     }
 
@@ -365,7 +382,7 @@
 
     /// Settles a turn's grant: counts the used tokens as spent, and returns the rest.
     ///
-    /// Returns whether the turn had an open grant here.
+    /// Returns whether the turn had an open grant here, and the accounts were not handed over since.
     pub fn settle(&mut self, settlement: &Settlement, now: Duration) -> bool {
         self.update_failures(settlement, now);
         let Some(account) = self.accounts.get_mut(&settlement.program) else {
@@ -393,7 +410,7 @@
             }
             account.last_home = Some(target.clone());
         }
-        true
+        !self.is_closed
     }
 
     /// Resets the failure count of the target that ran a turn, and increments that of the target
@@ -445,7 +462,8 @@
     /// Closes the ledger of the claim with `epoch`, and returns the records that give a new owner
     /// exact balances.
     ///
-    /// The tokens of turns in progress stay uncertain, since they can no longer be settled here.
+    /// Turns in progress can no longer be settled here. The next owner settles them; until it does, and at
+    /// owners that don't know how to, their tokens are uncertain.
     pub fn release(&mut self, epoch: u64) -> Vec<LedgerRecord> {
         self.is_closed = true;
         let settled = self.accounts.iter().flat_map(|(program, it)| {
@@ -456,9 +474,21 @@
             };
             let has_uncertain = it.spent < it.committed();
             let uncertain = has_uncertain.then(|| self.ceiling_record(program, it.committed()));
-            [self.unrecorded_record(program), Some(settled), uncertain]
+            let open = it.open.iter().map(|(request, open)| LedgerRecord::Open {
+                program: program.clone(),
+                request: request.clone(),
+                grant: open.grant,
+                tokens: open.tokens,
+            });
+            let balance = [self.unrecorded_record(program), Some(settled), uncertain];
+            balance.into_iter().flatten().chain(open)
         });
-        settled.flatten().chain([LedgerRecord::Released { epoch }]).collect()
+        settled.chain([LedgerRecord::Released { epoch }]).collect()
+    }
+
+    /// Returns the grants of all turns in progress.
+    pub fn open_grants(&self) -> Vec<GrantId> {
+        self.accounts.values().flat_map(|it| it.open.values()).map(|it| it.grant).collect()
     }
 
     /// Removes the accounts of programs that were not used for `age`, and expired failure counts.
--- a/crates/rosethread_entry/src/ledger/messages.rs
+++ b/crates/rosethread_entry/src/ledger/messages.rs
@@ -116,4 +116,16 @@
         /// Its budget.
         budget: Tokens,
     },
+    /// A turn was in progress as the owner closed its ledger; the ceiling before this record contains its
+    /// tokens. Hosts of the last release skip it, and count them as spent.
+    Open {
+        /// The program.
+        program: ProgramLabel,
+        /// The call.
+        request: RequestId,
+        /// The grant whose settlement returns the tokens.
+        grant: GrantId,
+        /// The tokens reserved for the turn.
+        tokens: Tokens,
+    },
 }
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -43,6 +43,9 @@
     pub dropped_turns: IntCounter,
     /// Number of successful shard claims by this host.
     pub claims: IntCounter,
+    /// Number of turns, in progress as another host released their shard, that ended before this host
+    /// claimed it.
+    pub early_settlements: IntCounter,
     /// Number of shards that this host owns.
     pub shards: IntGauge,
     /// Number of programs in the ledgers of the owned shards.
@@ -143,6 +146,10 @@
                 "Copies of turns dropped since nobody may ask for them any more.",
             ),
             claims: counter("rosethread_entry_claims_total", "Shards claimed."),
+            early_settlements: counter(
+                "rosethread_entry_early_settlements_total",
+                "Turns that ended between their shard's release and its claim by this host.",
+            ),
             shards: gauge("rosethread_entry_shards", "Shards owned at present."),
             programs: gauge("rosethread_entry_programs", "Programs known at present."),
             turn_bytes: gauge("rosethread_entry_turn_bytes", "Bytes of kept turns."),
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -104,8 +104,8 @@
             Err(NotOwned { owner: None, detail }) => PeerReply::Unable(detail),
         },
         PeerRequest::Settle { shard, settlement } => {
-            grants::settle(entry, shard, &settlement);
-            PeerReply::Done
+            // A sender of the last release takes any reply for done.
+            grants::settle(entry, shard, &settlement).map_or(PeerReply::Done, PeerReply::OwnedBy)
         }
         PeerRequest::Chain { shard, turn } => history::local_transcript(entry, shard, &turn).await,
         PeerRequest::Write { shard, turn } => match history::write_turn(entry, shard, turn).await {
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -19,7 +19,7 @@
 };
 
 use bytes::Bytes;
-use rosethread_membership::{NodeState, rank_nodes, responsible_node};
+use rosethread_membership::{ClusterView, NodeState, rank_nodes, responsible_node};
 use rosethread_platform::{Partition, SharedLogError};
 use rosethread_types::{Digest, NodeName, ProgramLabel, StreamName};
 use serde::{Deserialize, Serialize};
@@ -158,6 +158,23 @@
         self.yielded().remove(&index);
     }
 
+    /// Adds a shard that this node now owns, and settles the turns whose settlements came before.
+    ///
+    /// Returns the number of these turns.
+    fn adopt(&self, index: u32, shard: Arc<Shard>, now: Duration) -> u32 {
+        // Held until the shard is found by those who settle, so that no settlement falls in between.
+        let mut ended = self.ended();
+        let mut settled = 0;
+        if let Some(ended) = ended.get_mut(&index) {
+            let grants = shard.ledger().open_grants();
+            for settlement in grants.into_iter().filter_map(|it| ended.take_early(it)) {
+                settled += u32::from(shard.ledger().settle(&settlement, now));
+            }
+        }
+        self.insert(index, shard);
+        settled
+    }
+
     fn yielded(&self) -> MutexGuard<'_, BTreeMap<u32, YieldedAccounts>> {
         self.yielded.lock().expect("no code panics while it holds the yielded accounts")
     }
@@ -245,14 +262,17 @@
 /// for the work of a shard's turns. The second, if it differs, ranks highest among all live nodes.
 /// While no node reaches the log, nothing has to be claimed, and this one still owns the shard.
 pub(crate) fn candidates_for(entry: &Entry, index: u32) -> Vec<NodeName> {
-    let view = entry.view();
+    rank_candidates(&entry.view(), index)
+}
+
+fn rank_candidates(view: &ClusterView, index: u32) -> Vec<NodeName> {
     let key = format!("shard-{index}");
     let max_power = view.live().map(|it| it.summary.power).max().unwrap_or(0);
     let is_eligible =
         |it: &&NodeState| it.summary.has_log && max_power <= it.summary.power.saturating_mul(2);
     let with_log = view.live().filter(is_eligible).map(|it| &it.node);
     let first = rank_nodes(&key, with_log).into_iter().next();
-    let by_rank = responsible_node(&view, &key).filter(|it| Some(it) != first.as_ref());
+    let by_rank = responsible_node(view, &key).filter(|it| Some(it) != first.as_ref());
     first.into_iter().chain(by_rank).collect()
 }
 
@@ -261,6 +281,13 @@
     candidates_for(entry, index).into_iter().next()
 }
 
+/// Returns the node that is responsible for a shard once this one has left.
+pub(crate) fn next_owner(entry: &Entry, index: u32) -> Option<NodeName> {
+    let mut view = (*entry.view()).clone();
+    view.nodes.remove(&entry.settings.node);
+    rank_candidates(&view, index).into_iter().next()
+}
+
 fn partition(index: u32) -> Partition {
     let topic: StreamName = "rosethread-ledger".parse().expect("the topic name is valid");
     Partition { topic, index }
@@ -320,7 +347,8 @@
     let mut guard = None;
     match claim::claim_shard(&entry, index, &mut guard).await {
         Ok(shard) => {
-            entry.shards.insert(index, shard.clone());
+            let settled = entry.shards.adopt(index, shard.clone(), entry.now());
+            entry.metrics.early_settlements.inc_by(settled.into());
             entry.metrics.claims.inc();
             if Phase::Serving < entry.phase() {
                 // The drain only released the shards that were owned when it started.
@@ -365,7 +393,12 @@
     if can_serve && is_owner {
         return PeerReply::OwnedBy(entry.settings.node.clone());
     }
-    PeerReply::Yielded(yield_shard(entry, index))
+    let mut yielded = yield_shard(entry, index);
+    if let Some(it) = &mut yielded {
+        // A claimant of the last release could not decode the reply.
+        it.records.retain(|it| !matches!(it, LedgerRecord::Open { .. }));
+    }
+    PeerReply::Yielded(yielded)
 }
 
 /// The accounts of a shard that a node has yielded to a claimant.
@@ -435,7 +468,11 @@
     if is_adopted {
         // The claim got no older than half of its time at its owner, by a margin that outages do not use up.
         let claimed = entry.now().saturating_sub(entry.settings.retention() / 2);
-        entry.shards.insert(index, Shard::new(epoch, ledger, None, Arc::default(), claimed));
+        entry.shards.adopt(
+            index,
+            Shard::new(epoch, ledger, None, Arc::default(), claimed),
+            entry.now(),
+        );
     }
 }
 
@@ -445,9 +482,18 @@
     let Some(shard) = entry.shards.owned().remove(&index) else {
         return;
     };
-    let records = shard.ledger().release(shard.epoch);
+    let (records, open) = {
+        let mut ledger = shard.ledger();
+        (ledger.release(shard.epoch), ledger.open_grants().len())
+    };
+    // A claimant that does not find the release in the log asks this host.
+    let yielded = YieldedAccounts { epoch: shard.epoch, records: records.clone() };
+    entry.shards.yielded().insert(index, yielded);
+    let next = next_owner(entry, index);
+    entry.shards.set_owner(index, next.clone());
     let is_recorded =
         matches!(timeout(RELEASE_TIMEOUT, shard.record_all(records)).await, Ok(Ok(true)));
     shard.is_lost.store(true, Ordering::Relaxed);
-    info!(entry.logger, "shards: released"; "shard" => index, "recorded" => is_recorded);
+    info!(entry.logger, "shards: released"; "shard" => index, "recorded" => is_recorded,
+        "open" => open, "next" => next.as_ref().map_or("none", |it| it.as_str()));
 }
--- a/crates/rosethread_entry/src/shards/claim.rs
+++ b/crates/rosethread_entry/src/shards/claim.rs
@@ -82,7 +82,8 @@
     verify_claim(entry, index, offset + handed_over.len() as u64, &claim).await?;
     info!(entry.logger, "shards: claimed"; "shard" => index, "epoch" => epoch,
         "after_epoch" => state.epoch, "former_owner" => state.owner.as_ref().map_or("none", |(it, _)| it.as_str()),
-        "released" => state.is_released, "expired" => has_lost_claims, "handed_over" => handed_over.len(), "records" => state.records, "programs" => state.ledger.len());
+        "released" => state.is_released, "expired" => has_lost_claims, "handed_over" => handed_over.len(), "records" => state.records, "programs" => state.ledger.len(),
+        "open" => state.ledger.open_grants().len());
     let is_lost = Arc::new(AtomicBool::new(false));
     let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
     state.ledger.reset_last_used(entry.now());
@@ -289,7 +290,8 @@
             LedgerRecord::Ceiling { .. }
             | LedgerRecord::Settled { .. }
             | LedgerRecord::Bounded { .. }
-            | LedgerRecord::Unrecorded { .. } => (),
+            | LedgerRecord::Unrecorded { .. }
+            | LedgerRecord::Open { .. } => (),
         }
         self.ledger.replay(&record);
     }
--- a/crates/rosethread_entry/tests/ledger/records.rs
+++ b/crates/rosethread_entry/tests/ledger/records.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rosethread_entry::{Ledger, LedgerRecord};
+use rosethread_entry::{GrantId, GrantRequest, Ledger, LedgerRecord, Settlement, Verdict};
 use rosethread_types::{Incarnation, ProgramLabel};
 
 /// A record as the last release wrote it, in hexadecimal digits, is read as it was, and written alike.
@@ -53,3 +53,67 @@
     assert_eq!(ledger.aging_records(claimed + age, age, idle), records);
     assert_eq!(ledger.aging_records(claimed + 2 * idle, age, idle), [], "of an unused program");
 }
+
+/// Returns a ledger that has read `records`.
+fn replayed(records: &[LedgerRecord]) -> Ledger {
+    let mut ledger = Ledger::default();
+    records.iter().for_each(|it| ledger.replay(it));
+    ledger
+}
+
+/// Returns the records of an owner that claimed a shard, granted a turn of 100 tokens and released it.
+fn released_with_turn() -> (GrantRequest, Vec<LedgerRecord>) {
+    let ask = GrantRequest {
+        program: "p".parse().unwrap(),
+        session: "s".parse().unwrap(),
+        request: "r".parse().unwrap(),
+        budget: 200,
+        tokens: 100,
+        grant: GrantId(1),
+    };
+    let claim = LedgerRecord::Claim { epoch: 1, owner: "n".parse().unwrap(), run: Incarnation(2) };
+    let mut ledger = Ledger::default();
+    let verdict = ledger.request_grant(&ask, Duration::ZERO);
+    assert!(matches!(verdict, Verdict::Granted { .. }));
+    let released = ledger.release(1);
+    (ask, [claim].into_iter().chain(released).collect())
+}
+
+fn settlement(ask: &GrantRequest, used: u64) -> Settlement {
+    let GrantRequest { program, session, request, grant, .. } = ask.clone();
+    Settlement { program, session, request, used, target: None, failed: None, grant }
+}
+
+// Guards against `budget-not-journalled` after planned stops: the tokens of turns that were in progress as
+// their owner stopped counted as spent for good.
+#[test]
+fn the_next_owner_settles_turns_in_progress() {
+    let (ask, records) = released_with_turn();
+    let mut next = replayed(&records);
+    assert_eq!(next.open_grants(), [ask.grant]);
+    assert!(next.settle(&settlement(&ask, 30), Duration::ZERO));
+    let balance = next.balance(&ask.program);
+    assert_eq!((balance.spent, balance.uncertain, balance.open), (30, 0, 0));
+}
+
+// The owner in between may have settled the turn, and granted its tokens again.
+#[test]
+fn a_lost_owner_leaves_no_turn_in_progress() {
+    let (ask, mut records) = released_with_turn();
+    let owner = "m".parse().unwrap();
+    records.push(LedgerRecord::Claim { epoch: 2, owner, run: Incarnation(3) });
+    let mut next = replayed(&records);
+    assert!(!next.settle(&settlement(&ask, 30), Duration::ZERO));
+    let balance = next.balance(&ask.program);
+    assert_eq!((balance.spent, balance.uncertain, balance.open), (0, 100, 0));
+}
+
+// Hosts of the last release can't decode the record of a turn in progress, and skip it.
+#[test]
+fn the_last_release_counts_turns_in_progress_as_spent() {
+    let (ask, mut records) = released_with_turn();
+    let is_known = |it: &LedgerRecord| postcard::to_stdvec(it).unwrap()[0] <= 5;
+    assert!(!records.iter().all(is_known));
+    records.retain(is_known);
+    assert_eq!(replayed(&records).balance(&ask.program).uncertain, 100);
+}
