New programs are refused by priority and organisation, with a forecast (in progress)

Under load all new programs were refused alike. Now the least urgent ones and what organisations send far beyond their shares go first, where the settings ask for it.

--- a/crates/rosethread/src/main.rs
+++ b/crates/rosethread/src/main.rs
@@ -12,7 +12,7 @@
     process::ExitCode,
 };
 
-use rosethread_adapter::AdapterProcess;
+use rosethread_adapter::{AdapterProcess, parse_settings};
 use rosethread_config::{Problems, Settings};
 use rosethread_entry::{Entry, EntrySettings};
 use rosethread_node::NodeProcess;
@@ -30,7 +30,7 @@
         Action::Help => print_output(&args::usage()),
         Action::Version => print_output(&format!("rosethread {}\n", env!("CARGO_PKG_VERSION"))),
         Action::Check => check_settings(&args),
-        Action::Serve if args.platform => match load_settings(&args, EntrySettings::parse) {
+        Action::Serve if args.platform => match load_settings(&args, parse_settings) {
             Ok(settings) => serve_platform(settings, &args),
             Err(error) => fail(&error),
         },
@@ -57,7 +57,7 @@
 
 fn check_settings(args: &Args) -> ExitCode {
     let result = if args.platform {
-        load_settings(args, EntrySettings::parse).map(drop)
+        load_settings(args, parse_settings).map(drop)
     } else {
         load_settings(args, Settings::parse).map(drop)
     };
@@ -120,7 +120,7 @@
 
 /// Reloads the settings file; if it is invalid, logs the error and keeps the current settings.
 fn reload_settings(entry: &Entry, args: &Args) {
-    match load_settings(args, EntrySettings::parse) {
+    match load_settings(args, parse_settings) {
         Ok(settings) => entry.reload(&settings),
         Err(error) => {
             error!(entry.logger(), "settings: reload failed; keeping the current settings";
--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -12,8 +12,8 @@
 use tokio::time::Instant;
 
 use crate::{
+    admission,
     call::{Attempts, Call, ProgramContext, leaving_refusal},
-    choose::overload,
     entry::Entry,
     grants::{self, AskedHosts},
     history,
@@ -36,9 +36,6 @@
 /// The time after the deadline of a call within which its answer has been sent.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
 
-/// Retry delay sent to callers of new programs while running programs use the slots.
-const OVERLOAD_RETRY: Duration = Duration::from_millis(1_000);
-
 /// Lower bound on the retry delay sent to callers during an outage of the log.
 const MIN_OUTAGE_RETRY: Duration = Duration::from_millis(500);
 
@@ -109,10 +106,8 @@
         let (body, starts_chain) = target_body(entry, &call, &route, shard, deadline).await?;
         let admission = admit(entry, &call, &route, shard, deadline).await?;
         let is_new = admission.grant.is_some() && !admission.underway && call.previous.is_none();
-        if let Some(load) = is_new.then(|| overload(entry, &service)).flatten() {
-            let (running, slots) = (load.running, load.slots);
-            let detail = format!("{running} calls are running on the {slots} slots of {service}");
-            return Err(Refusal::not_run(Reason::Overloaded, detail).retry_after(OVERLOAD_RETRY));
+        if admission.grant.is_some() {
+            admission::refuse_overload(entry, &call, &route, &service, deadline, is_new)?;
         }
         Ok(PreparedCall {
             entry: entry.clone(),
--- a/crates/rosethread_entry/src/choose.rs
+++ b/crates/rosethread_entry/src/choose.rs
@@ -4,9 +4,7 @@
 
 use rosethread_config::PolicyName;
 use rosethread_membership::ClusterView;
-use rosethread_policy::{
-    Candidate, Holders, PlacementRequest, Strategy, Weights, choose_target, should_shed,
-};
+use rosethread_policy::{Candidate, Holders, PlacementRequest, Strategy, Weights, choose_target};
 use rosethread_types::{ServiceName, TargetName};
 
 use crate::{
@@ -206,28 +204,33 @@
     pub(crate) running: u32,
     /// Requests that the targets can work on at once.
     pub(crate) slots: u32,
+    /// The mean time of a request at those targets that this host has used, in seconds.
+    pub(crate) service_s: f64,
 }
 
-/// Returns the load of a service if a new program should be refused because of it.
-///
-/// Load shedding is randomized: the fraction of new programs that are refused rises with the load.
-pub(crate) fn overload(entry: &Entry, service: &ServiceName) -> Option<ServiceLoad> {
+/// Returns the load of a service.
+pub(crate) fn service_load(entry: &Entry, service: &ServiceName) -> ServiceLoad {
     let targets = entry.targets();
     let usable = |it: &&Target| it.service == *service && it.status == TargetStatus::Ready;
     let remote = entry.remote_reports();
     let loads = entry.loads.lock();
     let (mut running, mut slots) = (0_u32, 0_u32);
+    let (mut sum_s, mut used) = (0.0, 0_u32);
     for target in targets.values().filter(usable) {
         let local_running = loads.get(&target.name).map_or(0, |it| it.health.outstanding);
         let remote_running = remote.running.get(&target.name).copied().unwrap_or(0);
         running = running.saturating_add(local_running).saturating_add(remote_running);
         let rate = entry.limits.rate(target, &remote.limits, entry.sharers(&remote), entry.now());
         let service_s = loads.get(&target.name).map_or(0.0, |it| it.health.service_s);
+        if let Some(stats) = loads.get(&target.name) {
+            sum_s += stats.health.service_s;
+            used += 1;
+        }
         let usable = rate.map_or(target.slots, |it| usable_slots(target.slots, it, service_s));
         // A registration may name any number of slots.
         slots = slots.saturating_add(usable);
     }
-    should_shed(running, slots, entry.random.next_f64()).then_some(ServiceLoad { running, slots })
+    ServiceLoad { running, slots, service_s: sum_s / f64::from(used.max(1)) }
 }
 
 /// Returns how many of a target's slots are in use on average if it gets `per_s` requests per second
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    admission::Demands,
     call::Call,
     connections::{CallerConnection, Connections},
     fingerprint::Fingerprint,
@@ -136,6 +137,8 @@
     /// When this host ends the calls that are still in progress; set once it is shutting down.
     cutoff: OnceLock<Instant>,
     pub(crate) loads: LoadTracker,
+    /// The programs that callers begin at this host.
+    pub(crate) demands: Demands,
     /// The request rates that targets in need have named.
     pub(crate) limits: TargetLimits,
     /// The versions of software at which streams began.
@@ -181,6 +184,7 @@
             phase: watch::Sender::new(Phase::Serving),
             cutoff: OnceLock::new(),
             loads: LoadTracker::default(),
+            demands: Demands::default(),
             limits: TargetLimits::default(),
             origins: Origins::default(),
             software: watch::Sender::new(Arc::default()),
@@ -232,7 +236,7 @@
         let is_changed = reloadable != *self.reloadable();
         info!(self.logger, "settings: reloaded"; "changed" => is_changed,
             "processor" => reloadable.processor, "policy" => ?reloadable.policy,
-            "part_copies" => reloadable.part_copies,
+            "part_copies" => reloadable.part_copies, "admission" => ?reloadable.admission,
             "writes_per_s" => reloadable.writes_per_s, "grace_s" => reloadable.bounds.grace_s,
             "keep_s" => reloadable.bounds.keep_s);
         self.reloadable.send_replace(Arc::new(reloadable));
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -13,6 +13,7 @@
 //! [`EventBuffer`]) do no I/O and read no clock. Access to the platform goes through the traits in
 //! [`ports`]. See `docs/design/platform.md`.
 
+mod admission;
 mod call;
 mod chains;
 mod choose;
@@ -68,7 +69,8 @@
 pub use routes::{ClientLimits, EngineProfile, Route, RouteKind, Routes, Service, WeightedService};
 pub use sequence::{EventOrder, EventSequence};
 pub use settings::{
-    EntryAddresses, EntrySettings, PlatformSettings, ReloadableSettings, TimeLimits,
+    AdmissionSettings, EntryAddresses, EntrySettings, PlatformSettings, ReloadableSettings,
+    TimeLimits,
 };
 pub use shards::YieldedAccounts;
 pub use stream::{EventReceiver, StreamInterrupted};
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -57,6 +57,8 @@
     pub leaving_targets: IntCounter,
     /// Number of targets that named this host a limit on their requests.
     pub limited_targets: IntGauge,
+    /// Number of new programs refused under load, by cause: `organisation`, `priority` or `load`.
+    pub shed: IntCounterVec,
     /// Number of streams refused because no target may go on with them.
     pub lost_streams: IntCounter,
     /// Number of calls of this host that were starting at a target as it crashed.
@@ -156,6 +158,11 @@
                 "rosethread_entry_limited_targets",
                 "Targets that named this host a limit on their requests.",
             ),
+            shed: counter_vec(
+                "rosethread_entry_shed_total",
+                "New programs refused under load, by cause.",
+                "cause",
+            ),
             lost_streams: counter(
                 "rosethread_entry_lost_streams_total",
                 "Streams refused because no target may go on with them.",
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -46,6 +46,23 @@
     pub platform: PlatformSettings,
     /// The time limits that the platform's operators have agreed on with their users.
     pub bounds: TimeLimits,
+    /// Which new programs are refused under load.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
+}
+
+/// Which new programs are refused under load, and when their callers should come back. By default, all
+/// are refused alike, and callers are told to come back after a second. See
+/// `docs/design/contention.md`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdmissionSettings {
+    /// Refuses less urgent programs before more urgent ones.
+    pub by_priority: bool,
+    /// Refuses what organisations send far beyond their shares before anything else.
+    pub by_organisation: bool,
+    /// Tells callers to come back when there is expected to be room.
+    pub forecast: bool,
 }
 
 /// The addresses that a node listens on.
@@ -115,6 +132,8 @@
     pub writes_per_s: f64,
     /// See [`EntrySettings::bounds`].
     pub bounds: TimeLimits,
+    /// See [`EntrySettings::admission`].
+    pub admission: AdmissionSettings,
 }
 
 impl EntrySettings {
@@ -126,6 +145,7 @@
             part_copies: self.part_copies,
             writes_per_s: self.platform.writes_per_s,
             bounds: self.bounds.clone(),
+            admission: self.admission,
         }
     }
 
--- a/crates/rosethread_entry/tests/settings.rs
+++ b/crates/rosethread_entry/tests/settings.rs
@@ -56,6 +56,7 @@
     a_grace_period_that_is_too_short: ("grace_s = 8.0", "grace_s = 0.5", "bounds.grace_s = 0.5: must be from 1");
     a_negative_cache_time: ("keep_s = 5", "keep_s = -1", "bounds.keep_s = -1");
     a_malformed_key: ("00112233445566778899aabbccddeeff", "xyz", "keys.shared = (hidden)");
+    an_unknown_rule_of_admission: ("[bounds]", "[admission]\nsurprise = true\n[bounds]", "surprise");
     an_unknown_field: ("[bounds]", "[bounds]\nsurprise = 1", "surprise");
     a_missing_field: ("node = \"front-a-1\"", "", "node");
     a_name_with_a_space: ("zone = \"a\"", "zone = \"a b\"", "zone");
@@ -82,6 +83,8 @@
     a_new_number_of_copies_is_reloadable:
         ("processor = 0.25", "processor = 0.25\npart_copies = 2", &[]);
     a_new_write_rate_is_reloadable: ("writes_per_s = 800", "writes_per_s = 80", &[]);
+    new_rules_of_admission_are_reloadable:
+        ("[bounds]", "[admission]\nby_priority = true\n[bounds]", &[]);
     a_new_zone_needs_a_restart: ("zone = \"a\"", "zone = \"b\"", &["zone"]);
     a_new_port_needs_a_restart: ("10.1.0.1:8001", "10.1.0.1:8009", &["addresses"]);
     a_new_partition_count_needs_a_restart: ("partitions = 12", "partitions = 9", &["platform.partitions"]);
--- a/crates/rosethread_policy/src/admission.rs
+++ b/crates/rosethread_policy/src/admission.rs
@@ -58,6 +58,19 @@
 /// The load from which all new programs are refused: programs in progress take up the slots.
 const SHED_ALL_FROM: f64 = 1.05;
 
+/// Returns which share of the new programs to refuse at a service with `running` calls and `slots`.
+///
+/// Below the band it is negative, and above the band it exceeds 1.
+pub fn shed_share(running: u32, slots: u32) -> f64 {
+    let load = f64::from(running) / f64::from(slots.max(1));
+    (load - SHED_SOME_FROM) / (SHED_ALL_FROM - SHED_SOME_FROM)
+}
+
+/// Returns how many calls are running beyond those from which some new programs are refused.
+pub fn excess_calls(running: u32, slots: u32) -> f64 {
+    (f64::from(running) - SHED_SOME_FROM * f64::from(slots)).max(0.0)
+}
+
 /// Returns whether to refuse a new program at a service with `running` calls and `slots`.
 ///
 /// A program that begins under overload finishes late and delays all programs in progress; refused
@@ -65,6 +78,5 @@
 /// with the load instead of at one threshold, because nodes know each other's loads only with a
 /// delay. `random` is a random number of at least 0 and below 1.
 pub fn should_shed(running: u32, slots: u32, random: f64) -> bool {
-    let load = f64::from(running) / f64::from(slots.max(1));
-    random < (load - SHED_SOME_FROM) / (SHED_ALL_FROM - SHED_SOME_FROM)
+    random < shed_share(running, slots)
 }
--- a/crates/rosethread_policy/src/lib.rs
+++ b/crates/rosethread_policy/src/lib.rs
@@ -7,35 +7,45 @@
 
 mod admission;
 mod breaker;
+mod contention;
 mod copies;
+mod demand;
+mod fairness;
 mod health;
 mod limits;
 mod moves;
 mod order;
 mod pause;
 mod place;
+mod precedence;
 mod prefill;
 mod rate;
 mod reach;
 mod replicas;
 mod retry;
+mod returns;
 mod spread;
 mod suspects;
 
-pub use admission::{AdmissionRequest, Forecast, admit, should_shed};
+pub use admission::{AdmissionRequest, Forecast, admit, excess_calls, shed_share, should_shed};
 pub use breaker::{BreakerConfig, CircuitBreaker};
+pub use contention::{Cause, Contention, Shedding};
 pub use copies::{Holders, PartDemand, copy_count, rank_holders};
+pub use demand::{Arrivals, Demand};
+pub use fairness::{FairCut, FairShare, cut_excess};
 pub use health::TargetHealth;
 pub use limits::{RateShare, rate_share};
 pub use moves::{DrainCandidate, ProgramMove, plan_drain};
 pub use order::{FairShares, QueuedCall, select_next_call};
 pub use pause::{CacheRetention, PauseForecast, choose_retention};
 pub use place::{Candidate, Placement, PlacementRequest, Weights, choose_target};
+pub use precedence::refuse_by_priority;
 pub use prefill::PrefillEstimator;
 pub use rate::{TokenBucket, local_share};
 pub use reach::{DirectPath, PathLoss, Reach};
 pub use replicas::select_replicas;
 pub use retry::{RetryBudget, backoff};
+pub use returns::{Backlog, return_delay};
 pub use spread::{HostLoad, order_hosts};
 pub use suspects::{MAX_CRASHES, Suspects, Suspicion, was_starting};
 
