--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -54,6 +54,9 @@
     /// limits themselves.
     #[serde(default)]
     pub quota: Option<QuotaSettings>,
+    /// Which new programs are refused under load.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
 }
 
 /// What the limits of organisations mean: in any window, all hosts together send at most `(rate * window_s +
@@ -69,6 +72,20 @@
     pub slack: f64,
 }
 
+/// Which new programs are refused under load, and when their callers should come back. By default, all
+/// are refused alike, and callers are told to come back after a second. See
+/// `docs/design/contention.md`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdmissionSettings {
+    /// Refuses less urgent programs before more urgent ones.
+    pub by_priority: bool,
+    /// Refuses what organisations send far beyond their shares before anything else.
+    pub by_organisation: bool,
+    /// Tells callers to come back when there is expected to be room.
+    pub forecast: bool,
+}
+
 /// The addresses that a node listens on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -140,6 +157,8 @@
     pub bounds: TimeLimits,
     /// See [`EntrySettings::quota`].
     pub quota: Option<QuotaSettings>,
+    /// See [`EntrySettings::admission`].
+    pub admission: AdmissionSettings,
 }
 
 impl EntrySettings {
@@ -153,6 +172,7 @@
             writes_per_s: self.platform.writes_per_s,
             bounds: self.bounds.clone(),
             quota: self.quota.clone(),
+            admission: self.admission,
         }
     }
 
