--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -9,6 +9,20 @@
 /// Default of [`EntrySettings::part_copies`].
 const DEFAULT_PART_COPIES: f64 = 3.0;
 
+/// Default of [`EntrySettings::memory_mb`].
+const DEFAULT_MEMORY_MB: u64 = 512;
+
+/// Default of [`EntrySettings::max_descriptors`].
+const DEFAULT_MAX_DESCRIPTORS: usize = 8_192;
+
+fn default_memory_mb() -> u64 {
+    DEFAULT_MEMORY_MB
+}
+
+fn default_max_descriptors() -> usize {
+    DEFAULT_MAX_DESCRIPTORS
+}
+
 fn default_part_copies() -> f64 {
     DEFAULT_PART_COPIES
 }
@@ -26,6 +40,14 @@
     /// The directory weighs the load of a host against it. A host with less than half of the
     /// largest share owns no shards while a larger host reaches the shared log.
     pub processor: f64,
+    /// The memory that the process may use, in units of 2^20 bytes. From it follows what callers' requests
+    /// and answers may hold together.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// The number of files and sockets that the process may have open. From it follows how many connections
+    /// of callers it keeps.
+    #[serde(default = "default_max_descriptors")]
+    pub max_descriptors: usize,
     /// The policy for choosing a target.
     #[serde(default)]
     pub policy: PolicyName,
@@ -136,6 +158,8 @@
             ("node", self.node != other.node),
             ("zone", self.zone != other.zone),
             ("seeds", self.seeds != other.seeds),
+            ("memory_mb", self.memory_mb != other.memory_mb),
+            ("max_descriptors", self.max_descriptors != other.max_descriptors),
             ("addresses", self.addresses != other.addresses),
             ("keys", self.keys != other.keys),
             ("platform.address", platform.address != new.address),
@@ -164,6 +188,12 @@
         let copies = self.part_copies;
         let rule = "must be from 0 to 1000";
         problems.require((0.0..=1_000.0).contains(&copies), "part_copies", copies, rule);
+        let (memory, descriptors) = (self.memory_mb, self.max_descriptors);
+        let rule = "must be from 32 to 1000000";
+        problems.require((32..=1_000_000).contains(&memory), "memory_mb", memory, rule);
+        let rule = "must be from 64 to 10000000";
+        let is_valid = (64..=10_000_000).contains(&descriptors);
+        problems.require(is_valid, "max_descriptors", descriptors, rule);
         let addresses = &self.addresses;
         let endpoints = [
             ("addresses.caller", addresses.caller),
--- a/crates/rosethread_entry/tests/settings.rs
+++ b/crates/rosethread_entry/tests/settings.rs
@@ -50,6 +50,13 @@
     a_text_for_the_number_of_copies:
         ("processor = 0.25", "processor = 0.25\npart_copies = \"x\"", "part_copies");
     no_processor: ("processor = 0.25", "processor = 0", "processor = 0: must be above 0");
+    too_little_memory:
+        ("processor = 0.25", "processor = 0.25\nmemory_mb = 16", "memory_mb = 16: must be from 32");
+    too_few_descriptors: (
+        "processor = 0.25",
+        "processor = 0.25\nmax_descriptors = 8",
+        "max_descriptors = 8: must be from 64"
+    );
     no_retention: ("retention_s = 300", "retention_s = 0", "platform.retention_s = 0: must not be 0");
     tiny_records: ("record_bytes = 262144", "record_bytes = 9", "platform.record_bytes = 9");
     no_reports: ("report_ms = 1200", "report_ms = 0", "platform.report_ms = 0: must be from 1");
