Bodies of requests share a bounded memory, and callers' connections are bounded

Cause: read_body bounded each body and nothing bounded all of them; small parts were kept one by one, each holding a part of the socket's buffer; a body announced over the limit was read up to the limit; connections had no bound. Change: BodyMemory, a quarter of memory_mb; memory is reserved before it is allocated and held until the last clone of the body is dropped; past it 503 overloaded (nothing sent), and the largest body without a part for 5 s gives its memory up (408). 413 from the head. Connections: half of max_descriptors, the longest idle one closes, else the new one is turned away. Ruled out: reserving the announced length at once; not reading on.

Partial: answers not read, read buffers and frames between hosts are not in the account.

--- a/crates/rosethread_entry/src/connections.rs
+++ b/crates/rosethread_entry/src/connections.rs
@@ -14,7 +14,7 @@
 };
 
 use rosethread_types::RequestId;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 /// How far the exchange of a request and its answer on a connection has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -56,6 +56,10 @@
     is_body_unread: bool,
     /// Whether the end of the connection would pass for that of an answer which is not complete.
     must_reset: bool,
+    /// Whether the connection has to make room for others.
+    must_yield: bool,
+    /// Wakes the task of a connection that has to make room.
+    yielding: Arc<Notify>,
 }
 
 /// One connection of a caller; it counts as open until this is dropped.
@@ -117,6 +121,20 @@
         self.lock().must_reset
     }
 
+    /// Waits until this connection has to make room for others. It closes unless a request has begun
+    /// meanwhile.
+    pub async fn wait_for_yield(&self) {
+        let yielding = self.lock().yielding.clone();
+        loop {
+            yielding.notified().await;
+            let mut exchange = self.lock();
+            if exchange.stage == ExchangeStage::Idle {
+                return;
+            }
+            exchange.must_yield = false;
+        }
+    }
+
     /// Returns whether the last request has been answered although its body has not been read whole.
     pub fn is_body_unread(&self) -> bool {
         self.lock().is_body_unread
@@ -146,6 +164,8 @@
             request: None,
             is_body_unread: false,
             must_reset: false,
+            must_yield: false,
+            yielding: Arc::default(),
         };
         let exchange = Arc::new(Mutex::new(exchange));
         lock(&self.exchanges).insert(key, exchange.clone());
@@ -157,6 +177,23 @@
         lock(&self.exchanges).len()
     }
 
+    /// Closes the connection that has been idle for longest; returns whether there is one.
+    pub(crate) fn close_idlest(&self) -> bool {
+        let exchanges = lock(&self.exchanges);
+        let idle = exchanges.values().filter_map(|it| {
+            let exchange = lock(it);
+            let is_idle = exchange.stage == ExchangeStage::Idle && !exchange.must_yield;
+            is_idle.then_some((exchange.since, it))
+        });
+        let Some((_, idlest)) = idle.min_by_key(|it| it.0) else {
+            return false;
+        };
+        let mut exchange = lock(idlest);
+        exchange.must_yield = true;
+        exchange.yielding.notify_one();
+        true
+    }
+
     /// Returns the exchanges whose request has begun, and whose answer has not been sent whole.
     pub(crate) fn unanswered(&self) -> impl Iterator<Item = ExchangeState> {
         let exchanges: Vec<_> = lock(&self.exchanges).values().cloned().collect();
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -86,6 +86,7 @@
         let now = entry.now();
         let bytes = entry.turns.expire(now, retention);
         entry.metrics.turn_bytes.set(bytes as i64);
+        entry.metrics.body_bytes.set(entry.request_memory().used_bytes() as i64);
         entry.origins.expire(now);
         entry.paths.forget_unknown(&entry.targets());
         let mut programs = 0;
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -30,7 +30,7 @@
     history::TurnCache,
     limits::{Sharers, TargetLimits},
     load::{LoadTracker, RemoteLoads, RemoteReports},
-    memory::MemoryPool,
+    memory::{BodyMemory, MemoryPool},
     metrics::Metrics,
     origins::{Origins, Software, SoftwareByService},
     paths::Paths,
@@ -52,6 +52,9 @@
 /// Memory that all large responses in progress share, in bytes.
 const RESPONSE_MEMORY_BYTES: usize = 8 << 20;
 
+/// The least time between two log lines about callers that met a limit of this host.
+const LIMIT_LOG_PERIOD: Duration = Duration::from_secs(1);
+
 /// The dependencies of an entry, passed to [`EntryNode::start`](crate::EntryNode::start).
 pub struct EntryDependencies {
     /// The settings of this process.
@@ -162,6 +165,10 @@
     pub(crate) active_calls: AtomicU32,
     /// Memory for the large ones of the responses that are being buffered.
     pub(crate) response_memory: MemoryPool,
+    /// Memory for the bodies of requests.
+    request_memory: BodyMemory,
+    /// When a refusal for lack of memory or connections was last logged.
+    limit_logged: Mutex<Option<Instant>>,
 }
 
 impl Entry {
@@ -195,6 +202,8 @@
             connections: Connections::default(),
             active_calls: AtomicU32::new(0),
             response_memory: MemoryPool::new(RESPONSE_MEMORY_BYTES),
+            request_memory: BodyMemory::new(dependencies.settings.request_bytes()),
+            limit_logged: Mutex::default(),
             reloadable: watch::Sender::new(Arc::new(dependencies.settings.reloadable())),
             fingerprint_key: first_key(&dependencies.settings),
             settings: dependencies.settings,
@@ -421,6 +430,39 @@
         self.connections.open()
     }
 
+    /// Returns the memory for the bodies of requests.
+    pub fn request_memory(&self) -> &BodyMemory {
+        &self.request_memory
+    }
+
+    /// Makes room for one more connection of a caller, and returns whether there is any. The connection
+    /// that has been idle for longest closes.
+    pub fn make_room(&self) -> bool {
+        if self.connections.count() < self.settings.max_connections() {
+            return true;
+        }
+        let has_room = self.connections.close_idlest();
+        self.record_limit(if has_room { "idle-closed" } else { "turned-away" });
+        has_room
+    }
+
+    /// Counts, and logs at most once per [`LIMIT_LOG_PERIOD`], that a caller met a limit on memory or
+    /// connections.
+    pub fn record_limit(&self, cause: &str) {
+        self.metrics.caller_limits.with_label_values(&[cause]).inc();
+        let now = Instant::now();
+        let mut logged = self.limit_logged.lock().expect("no holder of this lock panics");
+        if logged.is_some_and(|it| now.duration_since(it) < LIMIT_LOG_PERIOD) {
+            return;
+        }
+        *logged = Some(now);
+        warn!(self.logger, "callers: a limit of this host was met"; "cause" => cause,
+            "body_bytes" => self.request_memory.used_bytes(),
+            "body_limit" => self.request_memory.total_bytes(),
+            "connections" => self.connections.count(),
+            "connection_limit" => self.settings.max_connections());
+    }
+
     /// Counts a call as in progress until the returned guard is dropped.
     pub(crate) fn count_call(self: &Arc<Entry>) -> CallGuard {
         self.active_calls.fetch_add(1, Ordering::Relaxed);
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -57,7 +57,7 @@
 pub use fingerprint::Fingerprint;
 pub use ledger::{GrantId, GrantRequest, Ledger, LedgerRecord, Settlement, Verdict};
 pub use life::{Draining, EntryNode, Serving, Stopped};
-pub use memory::{MemoryPool, Reservation};
+pub use memory::{BodyMemory, BodyReservation, MemoryPool, Reservation};
 pub use metrics::Metrics;
 pub use organisations::{
     Credential, Identity, KeyDigest, NoOrganisation, Organisation, Organisations, RateLimit,
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -69,6 +69,12 @@
     pub granted_paths: IntCounter,
     /// Number of targets to which the direct path is lost.
     pub lost_paths: IntGauge,
+    /// Number of callers that met a limit of this host, by cause: `announced` (a body over the size
+    /// limit, refused from its head), `no-memory`, `stalled` (a body that gave up its memory),
+    /// `idle-closed` (a connection) or `turned-away` (a new connection).
+    pub caller_limits: IntCounterVec,
+    /// Size of the memory that the bodies of requests hold, in bytes.
+    pub body_bytes: IntGauge,
     /// Number of nodes that the membership protocol considers alive, with this one.
     pub nodes: IntGauge,
 }
@@ -180,6 +186,12 @@
                 "rosethread_entry_lost_paths",
                 "Targets that this host does not reach directly.",
             ),
+            caller_limits: counter_vec(
+                "rosethread_entry_caller_limits_total",
+                "Callers that met a limit of this host, by cause.",
+                "cause",
+            ),
+            body_bytes: gauge("rosethread_entry_body_bytes", "Bytes held by bodies of requests."),
             nodes: gauge("rosethread_entry_nodes", "Nodes believed to be alive."),
             registry,
         }
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -237,6 +237,20 @@
         problems.into_result(())
     }
 
+    /// Returns the bytes that the bodies of all requests may hold together.
+    ///
+    /// The other three quarters are for answers, the buffers of connections, stored turns and the
+    /// process itself.
+    pub fn request_bytes(&self) -> usize {
+        usize::try_from(self.memory_mb << 20).unwrap_or(usize::MAX) / 4
+    }
+
+    /// Returns the number of callers' connections that are kept. The other half of the descriptors is
+    /// for targets, other nodes and the store.
+    pub fn max_connections(&self) -> usize {
+        self.max_descriptors / 2
+    }
+
     /// Returns the period of the targets' reports to the registry.
     pub fn report_period(&self) -> Duration {
         Duration::from_millis(self.platform.report_ms)
