--- a/crates/rosethread_console/src/explain.rs
+++ b/crates/rosethread_console/src/explain.rs
@@ -94,6 +94,11 @@
     }
 }
 
+/// Returns whether a program in a log is `id`, as its caller names it, of some organisation.
+fn is_scoped(text: &str, id: &str) -> bool {
+    text.split_once('/').is_some_and(|(_, unscoped)| unscoped == id)
+}
+
 /// Explains `id`, or returns `None` if no line names it as a request or program.
 pub(crate) fn build_explanation(id: &str, mut lines: Vec<LogLine>) -> Option<Explanation> {
     lines.sort_by(|a, b| a.at.cmp(&b.at));
@@ -104,6 +109,9 @@
     if decisions.is_empty() {
         decisions = lines_with("program");
     }
+    if decisions.is_empty() {
+        decisions = lines.iter().filter(|it| is_scoped(it.text("program"), id)).cloned().collect();
+    }
     let last = decisions.last()?.clone();
     let states = find_states(&lines, &decisions, &last.at);
     let cause = cause::describe_cause(&decisions, &states);
--- a/crates/rosethread_console/src/explain/cause.rs
+++ b/crates/rosethread_console/src/explain/cause.rs
@@ -44,6 +44,9 @@
         }
         "crashes-targets" => format!("targets crash when they run it: {detail}."),
         "unknown-turn" => format!("the turn that it continues is not kept: {detail}."),
+        "unauthorized" => {
+            format!("its credential names no organisation under the routes in force: {detail}.")
+        }
         "unknown-route" => format!("no route was in force for it: {detail}."),
         "no-document" => "the node had just started and knew no routes.".to_owned(),
         reason => format!("it was refused ({reason}): {detail}."),
--- a/crates/rosethread_console/src/explain/tests.rs
+++ b/crates/rosethread_console/src/explain/tests.rs
@@ -61,6 +61,24 @@
         r#"prefix {"ts":"2","msg":"call: refused","id":"b","program":"p","reason":"unknown-turn","detail":"no turn z is kept"}"#,
         2, "the turn that it continues is not kept",
     );
+    // The calls of organisations name their programs scoped to these.
+    a_program_by_the_name_that_its_caller_knows: (
+        "p",
+        r#"{"ts":"1","msg":"call: ended","id":"a","program":"org/p","target":"t","ms":1,"outcome":"answered"}"#,
+        r#"{"ts":"2","msg":"call: ended","id":"b","program":"org/other","target":"t","ms":1,"outcome":"answered"}"#,
+        1, "t answered after 1 ms",
+    );
+    a_program_by_its_scoped_name: (
+        "org/p",
+        r#"{"ts":"1","msg":"call: ended","id":"a","program":"org/p","target":"t","ms":1,"outcome":"answered"}"#,
+        r#"{"ts":"2","msg":"call: ended","id":"b","program":"other/p","target":"t","ms":1,"outcome":"answered"}"#,
+        1, "t answered after 1 ms",
+    );
+    a_call_without_a_known_key: (
+        "a",
+        r#"{"ts":"1","msg":"call: refused","id":"a","program":"p","reason":"unauthorized","detail":"the key belongs to no organisation"}"#,
+        "", 1, "names no organisation under the routes in force: the key belongs to no organisation",
+    );
     // A line that is not JSON is ignored.
     a_log_that_ends_during_a_call: (
         "a", r#"{"ts":"1","msg":"call: a target failed","id":"a","target":"t"}"#, "not json", 1,
--- a/crates/rosethread_entry/src/call/access.rs
+++ b/crates/rosethread_entry/src/call/access.rs
@@ -11,7 +11,7 @@
 use crate::{
     call::Call,
     entry::Entry,
-    organisations::{Identity, NoOrganisation},
+    organisations::{Identity, NoOrganisation, SCOPE_SEPARATOR},
     routes::{Route, Routes},
 };
 
@@ -58,7 +58,10 @@
         if let Some(context) = &mut self.program {
             context.program = scope(&identity, context.program.as_str())?;
         }
-        self.previous_unscoped = self.previous.clone();
+        // A name with a separator may be the scoped identifier of another organisation's turn.
+        let previous = self.previous.as_ref();
+        self.previous_unscoped =
+            previous.filter(|it| !it.as_str().contains(SCOPE_SEPARATOR)).cloned();
         for id in self.previous.iter_mut().chain(&mut self.resumes) {
             *id = scope(&identity, id.as_str())?;
         }
--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -265,14 +265,17 @@
         (Err(refusal), Some(unscoped)) if refusal.reason == Reason::UnknownTurn => {
             let loaded = history::load_transcript(entry, shard, unscoped, deadline).await;
             // The caller is told of the turn by the same name as if there were no earlier release.
-            loaded.map_err(|it| if it.reason == Reason::UnknownTurn { refusal } else { it })?
+            let loaded =
+                loaded.map_err(|it| if it.reason == Reason::UnknownTurn { refusal } else { it })?;
+            // The turn is not kept under the scoped name, so a new chain begins.
+            history::Transcript { starts_chain: true, ..loaded }
         }
         (loaded, _) => loaded?,
     };
     let mut body = BytesMut::with_capacity(transcript.text.len() + call.body.len());
     body.extend_from_slice(&transcript.text);
     body.extend_from_slice(&call.body);
-    Ok((body.freeze(), transcript.cross_shard))
+    Ok((body.freeze(), transcript.starts_chain))
 }
 
 /// What the owner of a call's program has decided; empty for a call that needs no grant.
--- a/crates/rosethread_entry/src/control/routes.rs
+++ b/crates/rosethread_entry/src/control/routes.rs
@@ -27,7 +27,7 @@
 pub(super) async fn follow_store(entry: Arc<Entry>) {
     let mut was_reachable = true;
     loop {
-        let after = entry.routes().revision;
+        let after = entry.routes().whole_revision();
         let started = Instant::now();
         let fetched = tokio::select! {
             fetched = entry.routes_source.fetch_newer(after) => fetched,
@@ -59,13 +59,17 @@
 /// Fetches newer routes from a peer, for when this host does not reach the store.
 pub(super) async fn follow_peers(entry: Arc<Entry>) {
     let mut ticks = entry.timer.every(PEER_PERIOD);
+    let mut rounds = 0;
     while let Some(Tick) = ticks.recv().await {
-        let own = entry.routes().revision;
+        let own = entry.routes().whole_revision();
         let view = entry.view();
         let has_newer = |it: &&NodeState| own < it.summary.revision && it.status < Status::Suspect;
-        let Some(peer) = view.nodes.values().find(has_newer) else {
+        let peers: Vec<&NodeState> = view.nodes.values().filter(has_newer).collect();
+        // In turn, since some may not answer or not know who may use the routes.
+        let Some(peer) = peers.get(rounds % peers.len().max(1)) else {
             continue;
         };
+        rounds += 1;
         let started = Instant::now();
         match entry.peers.request(peer.contact.peer, PeerRequest::Routes).await {
             Ok(PeerReply::Routes(routes)) if may_need_access(&entry, &routes) => {
@@ -89,6 +93,11 @@
     routes.lacks_access && (own.revision.0 == 0 || own.organisations.is_some())
 }
 
+/// Returns whether routes are of the same revision as the active ones, and have what these lack.
+fn completes(routes: &Routes, active: &Routes) -> bool {
+    routes.revision == active.revision && active.lacks_access && !routes.lacks_access
+}
+
 /// Activates routes unless the active revision is as new or newer.
 ///
 /// `source` is the name of the peer that sent the routes, or `store`, and `started` is when they were
@@ -101,7 +110,7 @@
     let ambiguous = routes.organisations.as_ref().map_or(0, |it| it.ambiguous_keys());
     let previous = entry.routes().revision;
     let is_activated = entry.routes.send_if_modified(|it| {
-        let is_newer = it.revision < revision;
+        let is_newer = it.revision < revision || completes(&routes, it);
         if is_newer {
             *it = Arc::new(routes);
         }
--- a/crates/rosethread_entry/src/history.rs
+++ b/crates/rosethread_entry/src/history.rs
@@ -127,8 +127,9 @@
 /// All inputs and outputs of a conversation up to a turn.
 pub(crate) struct Transcript {
     pub(crate) text: Bytes,
-    /// Whether the turn lies in another shard than that of the program which continues it.
-    pub(crate) cross_shard: bool,
+    /// Whether a turn that continues it has to start a chain of its own, since this one lies in another
+    /// shard than that of its program.
+    pub(crate) starts_chain: bool,
 }
 
 /// Returns the transcript up to and including `turn`, for a program whose shard is `shard`.
@@ -144,12 +145,12 @@
     let until = deadline.min(Instant::now() + LOAD_TIMEOUT);
     loop {
         let reply = match request_transcript(entry, shard, turn).await {
-            PeerReply::Chain(text) => return Ok(Transcript { text, cross_shard: false }),
+            PeerReply::Chain(text) => return Ok(Transcript { text, starts_chain: false }),
             PeerReply::NoTurn => search_other_shards(entry, shard, turn).await,
             reply => reply,
         };
         let reason = match reply {
-            PeerReply::Chain(text) => return Ok(Transcript { text, cross_shard: true }),
+            PeerReply::Chain(text) => return Ok(Transcript { text, starts_chain: true }),
             PeerReply::NoTurn => {
                 let detail = format!("no turn {turn} is kept");
                 return Err(Refusal::not_run(Reason::UnknownTurn, detail));
--- a/crates/rosethread_entry/src/organisations.rs
+++ b/crates/rosethread_entry/src/organisations.rs
@@ -128,24 +128,32 @@
     /// identifier itself.
     ///
     /// The text is as long as a label may be at most: longer ones are replaced by a digest.
-    pub(crate) fn scope(&self, id: &str) -> String {
+    pub fn scope(&self, id: &str) -> String {
         let owner = match self {
             Identity::Unchecked => return id.to_owned(),
             Identity::Public => "",
             Identity::Organisation(organisation) => organisation.name.as_str(),
         };
-        let text = format!("{owner}/{id}");
-        if text.len() <= MAX_SCOPED_BYTES && !owner.contains('/') {
+        let text = format!("{owner}{SCOPE_SEPARATOR}{id}");
+        // Nobody may name a text that stands for a digest.
+        let is_distinct = !owner.contains(SCOPE_SEPARATOR) && !text.starts_with(DIGEST_MARK);
+        if text.len() <= MAX_SCOPED_BYTES && is_distinct {
             return text;
         }
         let digest = Digest::default().chain(&[owner.as_bytes(), id.as_bytes()]).to_string();
-        format!("//{}", &digest[..DIGEST_CHARS])
+        format!("{DIGEST_MARK}{}", &digest[..DIGEST_CHARS])
     }
 }
 
 /// The longest scoped identifier that is not replaced by a digest, in bytes.
 const MAX_SCOPED_BYTES: usize = 64;
 
+/// What precedes the digest in a scoped identifier.
+const DIGEST_MARK: &str = "//";
+
+/// The separator of a scoped identifier, which thus contains at least one.
+pub(crate) const SCOPE_SEPARATOR: char = '/';
+
 /// The characters of such a digest, in hexadecimal.
 const DIGEST_CHARS: usize = 48;
 
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -191,7 +191,10 @@
                 let software: Vec<_> = targets.iter().map(|it| &it.software).collect();
                 postcard::to_extend(&software, frame)
             }
-            PeerReply::Routes(routes) => postcard::to_extend(&routes.access(), frame),
+            // Without it, the receiver is to know that these routes lack it.
+            PeerReply::Routes(routes) if !routes.lacks_access => {
+                postcard::to_extend(&routes.access(), frame)
+            }
             _ => Ok(frame),
         }
     }
--- a/crates/rosethread_entry/src/routes.rs
+++ b/crates/rosethread_entry/src/routes.rs
@@ -176,6 +176,12 @@
 }
 
 impl Routes {
+    /// Returns the newest revision that is known as a whole: routes without who may use them are to be
+    /// replaced by the same revision with it.
+    pub(crate) fn whole_revision(&self) -> Revision {
+        Revision(self.revision.0.saturating_sub(u64::from(self.lacks_access)))
+    }
+
     /// Returns who may use the routes.
     pub(crate) fn access(&self) -> RoutesAccess {
         let routes = self.hosts.values().flat_map(|it| it.values()).filter(|it| it.is_public);
--- a/crates/rosethread_entry/tests/peers.rs
+++ b/crates/rosethread_entry/tests/peers.rs
@@ -1,9 +1,12 @@
 //! Frames between nodes: nodes of the last release and this one understand each other.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use rosethread_entry::{PathRequest, PeerReply, PeerRequest, Target, TargetStatus};
-use rosethread_types::Incarnation;
+use rosethread_entry::{
+    ClientLimits, KeyDigest, Organisation, Organisations, PathRequest, PeerReply, PeerRequest,
+    Route, RouteKind, Routes, Target, TargetStatus, WeightedService,
+};
+use rosethread_types::{Incarnation, Revision};
 
 /// The reply to request 7 with [`target`] as the last release sent it.
 const LAST_RELEASE_TARGETS: &str = "07060103742d3103737663000a00000150017a0800e807030080e59a77f403";
@@ -111,3 +114,64 @@
     let reply = PeerReply::Unable("no".to_owned());
     assert_eq!(reply.encode(1).unwrap(), postcard::to_stdvec(&(1_u64, &reply)).unwrap());
 }
+
+/// The reply to request 7 with [`routes`] without organisations as the last release sent it.
+const LAST_RELEASE_ROUTES: &str = "0705050109612e6578616d706c6501032f782f017209612e6578616d706c65032f782f0101000080c2d72f020103737663010201013c000064c80103000400";
+
+/// Returns routes with a public one.
+fn routes(organisations: Option<Organisations>) -> Routes {
+    let limits = ClientLimits {
+        header_bytes: 100,
+        body_bytes: 200,
+        header_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(4),
+    };
+    let organisations = organisations.map(Arc::new);
+    let mut routes = Routes { revision: Revision(5), limits, organisations, ..Routes::default() };
+    routes.add(Route {
+        name: "r".into(),
+        host: "a.example".into(),
+        prefix: "/x/".into(),
+        kind: RouteKind::Once,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 2,
+        services: vec![WeightedService { service: "svc".parse().unwrap(), weight: 1 }],
+        attempts: 2,
+        sticky: true,
+        history: Some(Duration::from_secs(60)),
+        is_public: routes.organisations.is_some(),
+    });
+    routes
+}
+
+// Guards against routes that pass for those of a deployment without organisations, since a host of the last
+// release says nothing of these: anyone could call.
+#[test]
+fn routes_of_the_last_release_lack_who_may_use_them() {
+    let bytes = hex::decode(LAST_RELEASE_ROUTES).unwrap();
+    let reply = PeerReply::Routes(Routes { lacks_access: true, ..routes(None) });
+    assert_eq!(PeerReply::decode(&bytes).unwrap(), (7, reply.clone()));
+    // They lack it as well for the host to which they are sent on.
+    assert_eq!(reply.encode(7).unwrap(), bytes);
+}
+
+#[test]
+fn the_last_release_understands_routes_with_organisations() {
+    for organisations in [None, Some(Organisations::default())] {
+        let bytes = PeerReply::Routes(routes(organisations)).encode(7).unwrap();
+        assert!(bytes.starts_with(&hex::decode(LAST_RELEASE_ROUTES).unwrap()));
+    }
+}
+
+#[test]
+fn organisations_and_public_routes_arrive_as_they_were_sent() {
+    let mut organisations = Organisations::default();
+    let organisation = Organisation { name: "a".parse().unwrap(), priority: Some(1), limit: None };
+    organisations.add(organisation, [KeyDigest::of_key(b"key")]);
+    for organisations in [None, Some(Organisations::default()), Some(organisations)] {
+        let reply = PeerReply::Routes(routes(organisations));
+        let bytes = reply.encode(7).unwrap();
+        assert_eq!(PeerReply::decode(&bytes).unwrap(), (7, reply));
+    }
+}
--- a/crates/rosethread_entry/tests/routes.rs
+++ b/crates/rosethread_entry/tests/routes.rs
@@ -23,6 +23,7 @@
         attempts: 1,
         sticky: false,
         history: None,
+        is_public: false,
     }
 }
 
