--- a/crates/rosethread_policy/src/fairness.rs
+++ b/crates/rosethread_policy/src/fairness.rs
@@ -14,7 +14,7 @@
 const FAR_ABOVE: f64 = 2.0;
 
 /// How many standard deviations of its arrivals an organisation has to be above its share.
-const DEVIATIONS: f64 = 1.5;
+const DEVIATIONS: f64 = 1.0;
 
 /// The largest multiple; an organisation that is new has no usual rate.
 const MAX_MULTIPLE: f64 = 100.0;
