--- a/crates/rosethread_policy/tests/contention.rs
+++ b/crates/rosethread_policy/tests/contention.rs
@@ -228,25 +228,27 @@
 
 const SEEDS: Range<u64> = 1..5;
 
-/// Returns the mean over some seeds of what is served in a burst and without it.
-fn mean<F>(hosts: Hosts, burst: Burst, part: F) -> (f64, f64)
+/// Returns what is served with each seed.
+fn simulate_all(hosts: Hosts, burst: Burst) -> Vec<Served> {
+    SEEDS.map(|seed| simulate(ALL_RULES, true, hosts, burst, seed)).collect()
+}
+
+/// Returns the mean over the seeds.
+fn mean<F>(results: &[Served], part: F) -> f64
 where
     F: Fn(&Served) -> f64,
 {
-    let served = |burst, seed| part(&simulate(ALL_RULES, true, hosts, burst, seed));
-    let count = SEEDS.count() as f64;
-    let during: f64 = SEEDS.map(|seed| served(burst, seed)).sum();
-    let without: f64 = SEEDS.map(|seed| served(Burst::default(), seed)).sum();
-    (during / count, without / count)
+    results.iter().map(part).sum::<f64>() / results.len() as f64
 }
 
 /// Checks that a burst of the less urgent kind takes nothing from the urgent one, and starves nobody.
 fn check_priority(hosts: Hosts) {
     let burst = Burst { priority: Some((LESS_URGENT.priority, 2.5)), ..Burst::default() };
-    let (during, without) = mean(hosts, burst, |it| it.part(|priority, _| priority == 0));
-    assert!(without - during <= MAX_LOSS, "urgent: {during} against {without}");
-    let (less_urgent, _) = mean(hosts, burst, |it| it.part(|priority, _| priority == 1));
-    let (all, _) = mean(hosts, burst, Served::all);
+    let (during, without) = (simulate_all(hosts, burst), simulate_all(hosts, Burst::default()));
+    let served = |results, of| mean(results, |it| it.part(|priority, _| priority == of));
+    let (urgent, usual) = (served(&during, 0), served(&without, 0));
+    assert!(usual - urgent <= MAX_LOSS, "urgent: {urgent} against {usual}");
+    let (less_urgent, all) = (served(&during, 1), mean(&during, Served::all));
     assert!(MIN_PART * all <= less_urgent, "less urgent: {less_urgent}, all {all}");
 }
 
@@ -258,10 +260,12 @@
 /// Checks that an organisation at eight times its usual takes nothing from the others, and isn't starved.
 fn check_organisation(hosts: Hosts, hot: usize) {
     let burst = Burst { organisation: Some((hot, 8.0)), ..Burst::default() };
-    let (during, without) = mean(hosts, burst, |it| it.part(|_, index| index != hot));
-    assert!(without - during <= MAX_LOSS, "others: {during} against {without}");
-    let (own, _) = mean(hosts, burst, |it| it.part(|_, index| index == hot));
-    let (all, _) = mean(hosts, burst, Served::all);
+    let (during, without) = (simulate_all(hosts, burst), simulate_all(hosts, Burst::default()));
+    let served = |results| mean(results, |it: &Served| it.part(|_, index| index != hot));
+    let (others, usual) = (served(&during), served(&without));
+    assert!(usual - others <= MAX_LOSS, "others: {others} against {usual}");
+    let own = mean(&during, |it| it.part(|_, index| index == hot));
+    let all = mean(&during, Served::all);
     assert!(MIN_PART * all <= own, "hot: {own}, all {all}");
 }
 
