A host probes a failing log instead of sending all its calls

Cause by the code: writers' pace counts one writer a shard, in an outage there is one a shard and host; each waiting turn appends at up to three hosts each 60 ms. Change: CallGate for each kind of call.

--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -27,6 +27,7 @@
     call::Call,
     connections::{CallerConnection, Connections},
     fingerprint::Fingerprint,
+    gated_log::GatedLog,
     history::TurnCache,
     limits::{Sharers, TargetLimits},
     load::{LoadTracker, RemoteLoads, RemoteReports},
@@ -166,11 +167,18 @@
 
 impl Entry {
     pub(crate) fn new(dependencies: EntryDependencies) -> Arc<Entry> {
+        let metrics = Metrics::new();
+        let shared_log = Arc::new(GatedLog::new(
+            dependencies.shared_log,
+            RandomSource::seeded(dependencies.random.next_u64()),
+            metrics.log_calls_held.clone(),
+            dependencies.logger.clone(),
+        ));
         Arc::new(Entry {
             started_at: Instant::now(),
             incarnation: Incarnation(dependencies.clock.now_ms()),
             timer: Timer::start(&dependencies.tasks),
-            metrics: Metrics::new(),
+            metrics,
             routes: watch::Sender::new(Arc::default()),
             registry: Mutex::new(TargetRegistry::new(dependencies.settings.report_period())),
             targets: watch::Sender::new(Arc::default()),
@@ -199,7 +207,7 @@
             fingerprint_key: first_key(&dependencies.settings),
             settings: dependencies.settings,
             clock: dependencies.clock,
-            shared_log: dependencies.shared_log,
+            shared_log,
             routes_source: dependencies.routes_source,
             software_record: dependencies.software_record,
             targets_source: dependencies.targets_source,
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -43,6 +43,8 @@
     pub dropped_turns: IntCounter,
     /// Number of successful shard claims by this host.
     pub claims: IntCounter,
+    /// Number of calls to the log that were not sent, since it failed just before.
+    pub log_calls_held: IntCounter,
     /// Number of turns, in progress as another host released their shard, that ended before this host
     /// claimed it.
     pub early_settlements: IntCounter,
@@ -146,6 +148,10 @@
                 "Copies of turns dropped since nobody may ask for them any more.",
             ),
             claims: counter("rosethread_entry_claims_total", "Shards claimed."),
+            log_calls_held: counter(
+                "rosethread_entry_log_calls_held_total",
+                "Calls to the log that were not sent, since it failed just before.",
+            ),
             early_settlements: counter(
                 "rosethread_entry_early_settlements_total",
                 "Turns that ended between their shard's release and its claim by this host.",
--- a/crates/rosethread_policy/src/lib.rs
+++ b/crates/rosethread_policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod breaker;
 mod copies;
+mod gate;
 mod health;
 mod limits;
 mod moves;
@@ -25,6 +26,7 @@
 pub use admission::{AdmissionRequest, Forecast, admit, should_shed};
 pub use breaker::{BreakerConfig, CircuitBreaker};
 pub use copies::{Holders, PartDemand, copy_count, rank_holders};
+pub use gate::CallGate;
 pub use health::TargetHealth;
 pub use limits::{RateShare, rate_share};
 pub use moves::{DrainCandidate, ProgramMove, plan_drain};
