--- a/crates/rosethread_policy/tests/speed.rs
+++ b/crates/rosethread_policy/tests/speed.rs
@@ -33,7 +33,7 @@
 fn observed(factor: f64, count: usize) -> TargetSpeeds {
     let mut speeds = TargetSpeeds::default();
     for index in 0..4 * count {
-        let factor = if index % 4 == 0 { factor } else { 1.0 };
+        let factor = if index.is_multiple_of(4) { factor } else { 1.0 };
         speeds.observe(&name(index % 4), pause(factor), at(index as f64 * 0.05));
     }
     speeds
@@ -45,7 +45,7 @@
     let mut random = Pcg64::seed_from_u64(seed);
     let mut speeds = TargetSpeeds::default();
     let mut running: Vec<VecDeque<f64>> = vec![VecDeque::new(); ENGINES];
-    let factor = |index: usize| if index % SLOW_EVERY == 0 { 2.0 } else { 1.0 };
+    let factor = |index: usize| if index.is_multiple_of(SLOW_EVERY) { 2.0 } else { 1.0 };
     let base_s = MEAN_PAUSE_MS * EVENTS / 1_000.0;
     let mut ended: Vec<(f64, usize)> = Vec::new();
     let (mut late, mut all) = (0, 0);
