--- a/crates/rosethread/tests/crowd/mod.rs
+++ b/crates/rosethread/tests/crowd/mod.rs
@@ -195,6 +195,7 @@
     }
 
     /// Checks that the process lives and has kept to its settings.
+    #[expect(clippy::print_stdout, reason = "a change of the bounds is reported with its peaks")]
     pub fn check_limits(&mut self, manner: Manner, descriptors: usize) {
         let peak_kb = self.peak_kb();
         println!("{manner:?}: peak {peak_kb} kB, {descriptors} descriptors");
