Reads of the log shrink while they get no response

They are asked for again from the start, and nobody advances until all hosts are killed. 141 to 188 turns in two seconds at five hosts waited for such a reader.

Ruled out: the store refusing after its return (no 503 from second 26 on); claims that fence each other (10 to 25 claims in two seconds).

Change: a read that gets no response halves the next one, down to a size that holds any record; a success lets it grow by 64 KB. Two reads at a time for each host.

--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -183,6 +183,7 @@
         let metrics = Metrics::new();
         let shared_log = Arc::new(GatedLog::new(
             dependencies.shared_log,
+            dependencies.settings.platform.record_bytes,
             RandomSource::seeded(dependencies.random.next_u64()),
             metrics.log_calls_held.clone(),
             dependencies.logger.clone(),
@@ -463,7 +464,7 @@
         has_room
     }
 
-    /// Counts, and logs at most once per [`LIMIT_LOG_PERIOD`], that a caller met a limit on memory or
+    /// Counts, and logs at most once per `LIMIT_LOG_PERIOD`, that a caller met a limit on memory or
     /// connections.
     pub fn record_limit(&self, cause: &str) {
         self.metrics.caller_limits.with_label_values(&[cause]).inc();
--- a/crates/rosethread_entry/src/gated_log.rs
+++ b/crates/rosethread_entry/src/gated_log.rs
@@ -12,10 +12,16 @@
 use rosethread_platform::{
     FencingToken, KeyedValue, Partition, PartitionRead, SharedLog, SharedLogError,
 };
-use rosethread_policy::CallGate;
+use rosethread_policy::{CallGate, ReadWindow};
 use rosethread_runtime::RandomSource;
 use slog::{Logger, info};
-use tokio::time::Instant;
+use tokio::{sync::Semaphore, time::Instant};
+
+/// The most reads of a host that are under way.
+const MAX_READS: usize = 2;
+
+/// What a response to a read holds beside one record, in bytes.
+const FRAME_BYTES: usize = 1 << 10;
 
 /// The kinds of calls, each of which may fail while others succeed.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +38,9 @@
 pub(crate) struct GatedLog {
     log: Arc<dyn SharedLog>,
     gates: Mutex<[CallGate; KINDS]>,
+    window: Mutex<ReadWindow>,
+    /// Bounds the reads under way: they share this host's link and the rate of the log.
+    reads: Semaphore,
     started_at: Instant,
     random: RandomSource,
     /// The number of calls that were not sent.
@@ -42,18 +51,32 @@
 impl GatedLog {
     pub(crate) fn new(
         log: Arc<dyn SharedLog>,
+        record_bytes: usize,
         random: RandomSource,
         held: IntCounter,
         logger: Logger,
     ) -> GatedLog {
-        let gates = Mutex::default();
-        GatedLog { log, gates, started_at: Instant::now(), random, held, logger }
+        let window = ReadWindow::new(record_bytes + FRAME_BYTES);
+        GatedLog {
+            log,
+            gates: Mutex::default(),
+            window: Mutex::new(window),
+            reads: Semaphore::new(MAX_READS),
+            started_at: Instant::now(),
+            random,
+            held,
+            logger,
+        }
     }
 
     fn gates(&self) -> MutexGuard<'_, [CallGate; KINDS]> {
         self.gates.lock().expect("no code panics while it holds the gates")
     }
 
+    fn window(&self) -> MutexGuard<'_, ReadWindow> {
+        self.window.lock().expect("no code panics while it holds the read window")
+    }
+
     /// Makes a call unless its kind has failed too recently.
     async fn call<T>(
         &self,
@@ -102,7 +125,15 @@
         max_bytes: usize,
         wait: Duration,
     ) -> Result<PartitionRead, SharedLogError> {
-        self.call(Kind::Read, self.log.read(partition, from, max_bytes, wait)).await
+        // The semaphore is never closed.
+        let _permit = self.reads.acquire().await;
+        let limit = self.window().limit(max_bytes);
+        let read = async {
+            let result = self.log.read(partition, from, limit, wait).await;
+            self.window().record(!matches!(result, Err(SharedLogError::NoResponse(_))));
+            result
+        };
+        self.call(Kind::Read, read).await
     }
 
     async fn write_values(
--- a/crates/rosethread_entry/src/memory.rs
+++ b/crates/rosethread_entry/src/memory.rs
@@ -75,7 +75,7 @@
 
 /// The memory that the bodies of all callers' requests share.
 ///
-/// Bodies beyond [`SMALL_BODY_BYTES`] leave a quarter free, so that ordinary calls are still served. When
+/// Bodies beyond `SMALL_BODY_BYTES` leave a quarter free, so that ordinary calls are still served. When
 /// the memory runs out, the largest of the bodies that have stalled gives up its part. See
 /// `docs/design/memory.md`.
 #[derive(Clone, Debug)]
--- a/crates/rosethread_entry/src/routes.rs
+++ b/crates/rosethread_entry/src/routes.rs
@@ -69,7 +69,7 @@
     /// How long turns are kept for later ones; `None` if callers send the whole history each time.
     pub history: Option<Duration>,
     /// Whether its calls need no credential where there are organisations. Frames between hosts name
-    /// such routes in [`RoutesAccess`].
+    /// such routes in `RoutesAccess`.
     #[serde(skip)]
     pub is_public: bool,
 }
@@ -158,7 +158,7 @@
     /// Limits on what callers may send.
     pub limits: ClientLimits,
     /// The organisations, if the configuration names any. Frames between hosts hold them in
-    /// [`RoutesAccess`].
+    /// `RoutesAccess`.
     #[serde(skip)]
     pub organisations: Option<Arc<Organisations>>,
     /// Whether they came from a host of an earlier release, which doesn't know of organisations.
--- a/crates/rosethread_policy/src/lib.rs
+++ b/crates/rosethread_policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod quota;
 mod rate;
 mod reach;
+mod read_window;
 mod replicas;
 mod retry;
 mod returns;
@@ -50,6 +51,7 @@
 };
 pub use rate::{TokenBucket, local_share};
 pub use reach::{DirectPath, PathLoss, Reach};
+pub use read_window::ReadWindow;
 pub use replicas::select_replicas;
 pub use retry::{RetryBudget, backoff};
 pub use returns::{Backlog, return_delay};
