Shards stay where they are while hosts notice that the log is back

Change: while fewer than half of the strong hosts reach the log, and for 1.5 s after, the responsible host is the same strong one as before the outage.

--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -21,6 +21,7 @@
 use bytes::Bytes;
 use rosethread_membership::{ClusterView, NodeState, rank_nodes, responsible_node};
 use rosethread_platform::{Partition, SharedLogError};
+use rosethread_policy::LogReach;
 use rosethread_types::{Digest, NodeName, ProgramLabel, StreamName};
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -143,6 +144,8 @@
     claiming: Mutex<BTreeSet<u32>>,
     /// The last known owner of each shard, to be asked first.
     owners: Mutex<BTreeMap<u32, NodeName>>,
+    /// Whether the nodes that are responsible for shards have to reach the log.
+    log_reach: Mutex<LogReach>,
     /// Turns that have ended, by shard, whether or not this node owns it.
     ended: Mutex<BTreeMap<u32, EndedGrants>>,
 }
@@ -259,19 +262,34 @@
 ///
 /// The first is the node with the highest rendezvous rank among those that reach the log and have
 /// at least half the processing power of the strongest node: others cannot claim, or are too weak
-/// for the work of a shard's turns. The second, if it differs, ranks highest among all live nodes.
-/// While no node reaches the log, nothing has to be claimed, and this one still owns the shard.
+/// for the work of a shard's turns. While most nodes don't reach the log, and shortly after, it need not
+/// reach it either (see [`LogReach`]). The second, if it differs, ranks highest
+/// among all live nodes.
 pub(crate) fn candidates_for(entry: &Entry, index: u32) -> Vec<NodeName> {
-    rank_candidates(&entry.view(), index)
+    let view = entry.view();
+    let needs_log = needs_log(entry, &view);
+    rank_candidates(&view, index, needs_log)
 }
 
-fn rank_candidates(view: &ClusterView, index: u32) -> Vec<NodeName> {
-    let key = format!("shard-{index}");
+/// Returns the live nodes that are strong enough for the work of a shard's turns.
+fn strong_nodes(view: &ClusterView) -> impl Iterator<Item = &NodeState> {
     let max_power = view.live().map(|it| it.summary.power).max().unwrap_or(0);
-    let is_eligible =
-        |it: &&NodeState| it.summary.has_log && max_power <= it.summary.power.saturating_mul(2);
-    let with_log = view.live().filter(is_eligible).map(|it| &it.node);
-    let first = rank_nodes(&key, with_log).into_iter().next();
+    view.live().filter(move |it| max_power <= it.summary.power.saturating_mul(2))
+}
+
+/// Returns whether only nodes that reach the log may be responsible.
+fn needs_log(entry: &Entry, view: &ClusterView) -> bool {
+    let hosts = strong_nodes(view).count();
+    let reaching = strong_nodes(view).filter(|it| it.summary.has_log).count();
+    let mut reach = entry.shards.log_reach.lock().expect("no code panics while it holds the reach");
+    reach.is_required(reaching, hosts, entry.now())
+}
+
+fn rank_candidates(view: &ClusterView, index: u32, needs_log: bool) -> Vec<NodeName> {
+    let key = format!("shard-{index}");
+    let may_own = |it: &&NodeState| it.summary.has_log || !needs_log;
+    let eligible = strong_nodes(view).filter(may_own).map(|it| &it.node);
+    let first = rank_nodes(&key, eligible).into_iter().next();
     let by_rank = responsible_node(view, &key).filter(|it| Some(it) != first.as_ref());
     first.into_iter().chain(by_rank).collect()
 }
@@ -285,7 +303,8 @@
 pub(crate) fn next_owner(entry: &Entry, index: u32) -> Option<NodeName> {
     let mut view = (*entry.view()).clone();
     view.nodes.remove(&entry.settings.node);
-    rank_candidates(&view, index).into_iter().next()
+    let needs_log = needs_log(entry, &view);
+    rank_candidates(&view, index, needs_log).into_iter().next()
 }
 
 fn partition(index: u32) -> Partition {
