Tests of quota frames beside the last release and of quota settings

Change: both test files as in; the imports of peers.rs are joined with those of organisations, and the settings' check of partitions now checks quota as well.

--- a/crates/rosethread_entry/tests/peers.rs
+++ b/crates/rosethread_entry/tests/peers.rs
@@ -3,8 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use rosethread_entry::{
-    ClientLimits, KeyDigest, Organisation, Organisations, PathRequest, PeerReply, PeerRequest,
-    Route, RouteKind, Routes, Target, TargetStatus, WeightedService,
+    AskProgram, ClientLimits, KeyDigest, Organisation, Organisations, PathRequest, PeerReply,
+    PeerRequest, QuotaAsk, QuotaReply, Route, RouteKind, Routes, Target, TargetStatus,
+    WeightedService,
 };
 use rosethread_types::{Incarnation, Revision};
 
@@ -87,6 +88,44 @@
     assert_eq!(reply, (5, PeerReply::Unable("unknown request".to_owned())));
 }
 
+fn quota_ask(spent: Vec<u64>) -> QuotaAsk {
+    QuotaAsk {
+        organisation: "org-1234".parse().unwrap(),
+        revision: Revision(300),
+        milli_per_s: 40_000,
+        milli_burst: 60_000,
+        want: 3,
+        program: AskProgram { program: Some(u64::MAX), is_underway: true },
+        pool: u32::MAX,
+        returned: 1,
+        spent,
+    }
+}
+
+// Guards against a question for tokens that the last release takes for another: it says that it knows none, which
+// is no word on the limit, and the asking host uses its own share.
+#[test]
+fn the_last_release_says_that_it_grants_no_tokens() {
+    let bytes =
+        postcard::to_stdvec(&(5_u64, PeerRequest::AskQuota(quota_ask(Vec::new())))).unwrap();
+    assert_eq!(bytes[..2], [5, 13]);
+    let reply = PeerReply::decode(&hex::decode(LAST_RELEASE_UNKNOWN).unwrap()).unwrap();
+    assert_eq!(reply, (5, PeerReply::Unable("unknown request".to_owned())));
+}
+
+// docs/CAPACITY.md is computed from these.
+#[test]
+fn questions_for_tokens_are_short() {
+    let id = 1_000_000_u64;
+    let length = |spent: usize| {
+        let ask = PeerRequest::AskQuota(quota_ask(vec![u64::MAX; spent]));
+        postcard::to_stdvec(&(id, ask)).unwrap().len()
+    };
+    assert_eq!((length(0), length(32)), (41, 361));
+    let granted = PeerReply::Quota(QuotaReply::Granted { pool: u32::MAX, tokens: 3 });
+    assert_eq!(granted.encode(id).unwrap().len(), 11);
+}
+
 #[test]
 fn requests_for_paths_leave_those_of_the_last_release_as_they_were() {
     let request = hex::decode(LAST_RELEASE_FIND_ORIGIN.0).unwrap();
--- a/crates/rosethread_entry/tests/settings.rs
+++ b/crates/rosethread_entry/tests/settings.rs
@@ -61,6 +61,10 @@
     tiny_records: ("record_bytes = 262144", "record_bytes = 9", "platform.record_bytes = 9");
     no_reports: ("report_ms = 1200", "report_ms = 0", "platform.report_ms = 0: must be from 1");
     a_grace_period_that_is_too_short: ("grace_s = 8.0", "grace_s = 0.5", "bounds.grace_s = 0.5: must be from 1");
+    a_window_of_zero: ("[bounds]", "[quota]\nwindow_s = 0\noverage = 0.1\nslack = 20\n[bounds]", "quota.window_s = 0: must be from 1");
+    a_negative_overage: ("[bounds]", "[quota]\nwindow_s = 5\noverage = -0.1\nslack = 20\n[bounds]", "quota.overage = -0.1: must be from 0");
+    a_slack_that_is_no_number: ("[bounds]", "[quota]\nwindow_s = 5\noverage = 0.1\nslack = nan\n[bounds]", "quota.slack = NaN: must be from 0");
+    a_rule_without_its_slack: ("[bounds]", "[quota]\nwindow_s = 5\noverage = 0.1\n[bounds]", "slack");
     a_negative_cache_time: ("keep_s = 5", "keep_s = -1", "bounds.keep_s = -1");
     a_malformed_key: ("00112233445566778899aabbccddeeff", "xyz", "keys.shared = (hidden)");
     an_unknown_rule_of_admission: ("[bounds]", "[admission]\nsurprise = true\n[bounds]", "surprise");
@@ -72,7 +76,7 @@
 #[test]
 fn valid_settings_are_accepted() {
     let settings = EntrySettings::parse(VALID).unwrap();
-    assert_eq!(settings.platform.partitions, 12);
+    assert_eq!((settings.platform.partitions, settings.quota), (12, None));
 }
 
 /// Replaces a part of the valid settings and compares the names of the changes that need a restart.
