Case 9 is replaced: LOST, programs under way at a kill

The full store is the earlier case 5, so the script for it is dropped. Rule: LOST (agent programs). Order: 36 programs take two turns; the owner of some of their accounts is killed and starts again; 8 s later the programs go on; those of the killed owner get 503 in six tries of six with 150 of 800 tokens left, while all first turns reach a server.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 export CASE_DIR=review/9
-exec target/review-2/stand-ins sated
+exec target/review-2/stand-ins underway
--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     net::{Answer, Client},
-    world::{self, digest, is_troubled, route, send_turn, verdict, Behaviour, Plan, Turn, World, HOST_NAME},
+    world::{
+        self, digest, is_troubled, route, send_turn, verdict, Behaviour, Plan, Turn, World,
+        HOST_NAME,
+    },
 };
 
 const CHAT: &str = "/pufi791/";
@@ -46,7 +49,7 @@
         "big" => big(),
         "budget" => budget(),
         "full" => full(),
-        "sated" => sated(),
+        "underway" => underway(),
         "crowd" => crowd(),
         _ => {
             eprintln!("no such case: {case}");
@@ -104,15 +107,20 @@
             };
             send_turn(&mut client, &id, &turn)
         });
-        let answer = answer.unwrap_or_else(|it| Answer { error: it.to_string(), ..Answer::default() });
+        let answer =
+            answer.unwrap_or_else(|it| Answer { error: it.to_string(), ..Answer::default() });
         world.record.line(&format!(
             "client: turn {id} of {bytes} bytes to {}: {} {} {} ran: {}",
-            host.name, answer.status, if answer.is_whole { "whole" } else { "broken" }, answer.error,
+            host.name,
+            answer.status,
+            if answer.is_whole { "whole" } else { "broken" },
+            answer.error,
             world.run_of(&id).is_some()
         ));
         answer.status == 200 && answer.is_whole
     };
-    let (burst, later, later_whole) = (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
+    let (burst, later, later_whole) =
+        (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
     thread::scope(|scope| {
         for caller in 0..8 {
             let (send, burst, later, later_whole) = (&send, &burst, &later, &later_whole);
@@ -126,7 +134,8 @@
                 while started.elapsed() < Duration::from_secs(90) {
                     turn += 1;
                     later.fetch_add(1, Ordering::Relaxed);
-                    later_whole.fetch_add(usize::from(send(caller, turn, 17_000)), Ordering::Relaxed);
+                    later_whole
+                        .fetch_add(usize::from(send(caller, turn, 17_000)), Ordering::Relaxed);
                     thread::sleep(Duration::from_millis(500));
                 }
             });
@@ -138,7 +147,8 @@
     );
     let mut ended = 0;
     for host in &world.hosts {
-        let (ends, peak) = (host.ends.load(Ordering::Relaxed), host.peak_kb.load(Ordering::Relaxed));
+        let (ends, peak) =
+            (host.ends.load(Ordering::Relaxed), host.peak_kb.load(Ordering::Relaxed));
         ended += usize::from(3 <= ends);
         text.push_str(&format!("; {}: {ends} ends, at most {peak} kB", host.name));
     }
@@ -227,14 +237,19 @@
                     let answer = send_turn(&mut client, &id, &turn);
                     first_turns += 1;
                     first_reached += usize::from(world.run_of(&id).is_some());
-                    world.record.line(&format!("client: first turn {id} to {}: {}", host.name, answer.status));
+                    world.record.line(&format!(
+                        "client: first turn {id} to {}: {}",
+                        host.name, answer.status
+                    ));
                 }
             }
             if done.is_none() {
                 is_failed = true;
                 let is_lost = !has_reached && 5 <= tries;
                 lost += usize::from(is_lost);
-                world.record.line(&format!("client: {program} turn {number} fails; it reached a server: {has_reached}"));
+                world.record.line(&format!(
+                    "client: {program} turn {number} fails; it reached a server: {has_reached}"
+                ));
                 break;
             }
             previous = done;
@@ -301,15 +316,20 @@
                     let run = world.run_of(&id);
                     world.record.line(&format!(
                         "client {caller}: turn {id} of {} bytes to {}: {} {} {} ran: {}",
-                        body.len(), host.name, answer.status, if answer.is_whole { "whole" } else { "broken" },
-                        answer.error, run.is_some()
+                        body.len(),
+                        host.name,
+                        answer.status,
+                        if answer.is_whole { "whole" } else { "broken" },
+                        answer.error,
+                        run.is_some()
                     ));
                     if answer.is_whole {
                         whole.fetch_add(usize::from(answer.status == 200), Ordering::Relaxed);
                     } else {
                         client = None;
                         *cut.lock().unwrap() += usize::from(run.is_some());
-                        small_cut.fetch_add(usize::from(!is_large && run.is_some()), Ordering::Relaxed);
+                        small_cut
+                            .fetch_add(usize::from(!is_large && run.is_some()), Ordering::Relaxed);
                     }
                     thread::sleep(Duration::from_millis(if is_large { 500 } else { 50 }));
                 }
@@ -390,7 +410,8 @@
     }
     let after = spend("after");
     let most = budget + max_output;
-    let text = format!("{before} tokens before and {after} after; the budget and one turn are {most}");
+    let text =
+        format!("{before} tokens before and {after} after; the budget and one turn are {most}");
     verdict(&world, most < before + after, &text)
 }
 
@@ -452,7 +473,11 @@
         }
     });
     let kept = kept.into_inner().unwrap();
-    world.record.line(&format!("{} turns were answered whole; the store holds {} MB", kept.len(), world.store.bytes() >> 20));
+    world.record.line(&format!(
+        "{} turns were answered whole; the store holds {} MB",
+        kept.len(),
+        world.store.bytes() >> 20
+    ));
     if is_troubled() {
         thread::scope(|scope| {
             for host in &world.hosts {
@@ -473,7 +498,9 @@
             let (_, answer) = send(9, number, Some(previous), 1_000, attempt);
             match answer.status {
                 404 | 410 => {
-                    world.record.line(&format!("client: {previous}, answered whole {age:?} ago, is not known"));
+                    world.record.line(&format!(
+                        "client: {previous}, answered whole {age:?} ago, is not known"
+                    ));
                     lost += 1;
                 }
                 200 if answer.is_whole => continued += 1,
@@ -494,131 +521,6 @@
     verdict(&world, 0 < lost, &text)
 }
 
-/// A burst of turns with bodies of legal size fills the store; then ordinary callers come.
-fn sated() -> i32 {
-    let plan = Plan {
-        hosts: 13,
-        servers: 3,
-        applications: 3,
-        memory_mb: 290,
-        retention_s: 300,
-        routes: format!("{},{},{}", chat_route(), assist_route(60), fetch_route()),
-        behaviour: behaviour(),
-    };
-    let world = World::start(&plan);
-    if !world.wait_until_ready() {
-        return 2;
-    }
-    let body_bytes = if is_troubled() { 1_000_000 } else { 17_000 };
-    let send = |client: &mut Option<Client>, host: usize, program: &str, previous: Option<&str>, bytes: usize| {
-        let id = world.new_id();
-        let host = &world.hosts[host % world.hosts.len()];
-        let body = text_body(digest(id.as_bytes()), bytes);
-        let turn = Turn {
-            program,
-            previous,
-            budget: 10_000,
-            max_output: 100,
-            body: &body,
-            deadline_ms: 4_000,
-            finish_ms: 60_000,
-            prefix: CHAT,
-        };
-        if client.is_none() {
-            *client = Client::connect(host.caller, Duration::from_secs(10)).ok();
-            // A call of a tool comes first, so that the turn is sent on a kept connection.
-            let tool = world.new_id();
-            let headers =
-                [("Host", HOST_NAME.to_owned()), ("Attempt-Id", tool.clone()), ("Deadline-Ms", "2000".to_owned())];
-            let call = |it: &mut Client| {
-                it.send("POST", &format!("{FETCH}2f"), &headers, b"what").map(|()| it.receive())
-            };
-            let answer = client.as_mut().and_then(|it| call(it).ok()).unwrap_or_default();
-            world.record.line(&format!("client: tool {tool} to {}: {} {}", host.name, answer.status, answer.error));
-            if answer.status != 200 || !answer.is_whole {
-                *client = None;
-            }
-        }
-        let answer = match client.as_mut() {
-            Some(client) => send_turn(client, &id, &turn),
-            None => Answer { error: "no connection".to_owned(), ..Answer::default() },
-        };
-        if !answer.is_whole {
-            *client = None;
-        }
-        let run = world.run_of(&id);
-        world.record.line(&format!(
-            "client: {program} turn {id} of {bytes} bytes, previous {previous:?}, to {}: {} {} {} ran: {}",
-            host.name, answer.status, if answer.is_whole { "whole" } else { "broken" }, answer.error, run.is_some()
-        ));
-        (id, answer, run.is_some())
-    };
-    let burst = AtomicUsize::new(0);
-    thread::scope(|scope| {
-        for caller in 0..12usize {
-            let (send, burst) = (&send, &burst);
-            scope.spawn(move || {
-                let mut client = None;
-                for number in 0..36usize {
-                    let program = format!("bb{caller:02}{number:02}");
-                    let (_, answer, _) = send(&mut client, caller, &program, None, body_bytes);
-                    burst.fetch_add(usize::from(answer.is_whole && answer.status == 200), Ordering::Relaxed);
-                }
-            });
-        }
-    });
-    let text = format!("{} of 432 turns of {body_bytes} bytes answered whole", burst.into_inner());
-    world.record.line(&format!("{text}; the store holds {} MB", world.store.bytes() >> 20));
-    thread::sleep(Duration::from_secs(5));
-    // Ordinary programs of four turns on kept connections, as many tries as clients make.
-    let until = Instant::now() + Duration::from_secs(40);
-    let (whole, cut, unreached) = (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
-    thread::scope(|scope| {
-        for caller in 0..6usize {
-            let (send, whole, cut, unreached) = (&send, &whole, &cut, &unreached);
-            scope.spawn(move || {
-                let (mut client, mut round) = (None, 0);
-                while Instant::now() < until {
-                    round += 1;
-                    let program = format!("cc{caller:02}{round:03}");
-                    let mut previous: Option<String> = None;
-                    for _ in 0..4 {
-                        let (mut done, mut reached, mut tries) = (None, false, 0);
-                        while done.is_none() && tries < 6 {
-                            tries += 1;
-                            let (id, answer, ran) =
-                                send(&mut client, caller + round, &program, previous.as_deref(), 17_000);
-                            reached |= ran;
-                            if answer.is_whole && answer.status == 200 {
-                                done = Some(id);
-                            } else {
-                                cut.fetch_add(usize::from(ran && !answer.is_whole), Ordering::Relaxed);
-                                thread::sleep(Duration::from_millis(300));
-                            }
-                        }
-                        let Some(done) = done else {
-                            unreached.fetch_add(usize::from(!reached && previous.is_some()), Ordering::Relaxed);
-                            break;
-                        };
-                        whole.fetch_add(1, Ordering::Relaxed);
-                        previous = Some(done);
-                        thread::sleep(Duration::from_millis(100));
-                    }
-                }
-            });
-        }
-    });
-    let (whole, cut, unreached) = (whole.into_inner(), cut.into_inner(), unreached.into_inner());
-    let ends: usize = world.hosts.iter().map(|it| it.ends.load(Ordering::Relaxed)).sum();
-    let text = format!(
-        "{text}; then of ordinary turns {whole} answered whole, {cut} ran at a sound server and their connections \
-         were closed without a complete answer, {unreached} later turns reached no server in 6 tries; processes \
-         ended: {ends}; the store holds {} MB",
-        world.store.bytes() >> 20
-    );
-    verdict(&world, 3 < cut || 0 < unreached, &text)
-}
-
 /// Machines are removed as planned, so that those that stay send to most of the servers at once.
 fn crowd() -> i32 {
     let mut answers = behaviour();
@@ -637,16 +539,19 @@
         return 2;
     }
     let until = Instant::now() + Duration::from_secs(60);
-    let addresses: Mutex<Vec<SocketAddr>> = Mutex::new(world.hosts.iter().map(|it| it.caller).collect());
+    let addresses: Mutex<Vec<SocketAddr>> =
+        Mutex::new(world.hosts.iter().map(|it| it.caller).collect());
     let removed_at: Mutex<Option<Instant>> = Mutex::default();
     // Turns count from when the processes of the removed machines are gone.
-    let is_calm = || removed_at.lock().unwrap().is_none_or(|it| Duration::from_secs(10) < it.elapsed());
+    let is_calm =
+        || removed_at.lock().unwrap().is_none_or(|it| Duration::from_secs(10) < it.elapsed());
     let pick = |seed: u64| {
         let addresses = addresses.lock().unwrap();
         addresses[(digest(&seed.to_be_bytes()) >> 16) as usize % addresses.len()]
     };
     let count = |_: &str| AtomicUsize::new(0);
-    let (whole, ended, failed, denied) = (count("turns"), count("programs"), count("programs"), count("402, 404"));
+    let (whole, ended, failed, denied) =
+        (count("turns"), count("programs"), count("programs"), count("402, 404"));
     let (later, unreached, first, first_reached) = (count(""), count(""), count(""), count(""));
     let (tools, tools_whole) = (count("calls"), count("calls"));
     thread::scope(|scope| {
@@ -662,7 +567,8 @@
         for caller in 0..180u64 {
             let (world, pick, is_calm) = (&world, &pick, &is_calm);
             let (whole, ended, failed, denied) = (&whole, &ended, &failed, &denied);
-            let (later, unreached, first, first_reached) = (&later, &unreached, &first, &first_reached);
+            let (later, unreached, first, first_reached) =
+                (&later, &unreached, &first, &first_reached);
             scope.spawn(move || {
                 thread::sleep(Duration::from_millis(20 * caller));
                 let (mut round, mut sent) = (0, caller << 32);
@@ -745,14 +651,18 @@
                         ("Deadline-Ms", "4000".to_owned()),
                     ];
                     let call = |mut client: Client| {
-                        client.send("POST", &format!("{FETCH}2f"), &headers, b"what").map(|()| client.receive())
+                        client
+                            .send("POST", &format!("{FETCH}2f"), &headers, b"what")
+                            .map(|()| client.receive())
                     };
                     let address = pick(sent);
                     let answer = Client::connect(address, Duration::from_secs(10)).and_then(call);
                     let answer = answer.unwrap_or_default();
                     world.record.line(&format!(
                         "client: tool {id} to {address}: {} {} ran: {}",
-                        answer.status, answer.error, world.run_of(&id).is_some()
+                        answer.status,
+                        answer.error,
+                        world.run_of(&id).is_some()
                     ));
                     tools.fetch_add(1, Ordering::Relaxed);
                     if answer.status == 200 && answer.is_whole {
@@ -774,8 +684,10 @@
         let before = world.store.takeovers.load(Ordering::Relaxed);
         while Instant::now() < until {
             thread::sleep(Duration::from_secs(4));
-            let busy = world.servers.iter().filter(|it| it.in_flight.load(Ordering::Relaxed) != 0).count();
-            let in_flight: usize = world.servers.iter().map(|it| it.in_flight.load(Ordering::Relaxed)).sum();
+            let busy =
+                world.servers.iter().filter(|it| it.in_flight.load(Ordering::Relaxed) != 0).count();
+            let in_flight: usize =
+                world.servers.iter().map(|it| it.in_flight.load(Ordering::Relaxed)).sum();
             let takeovers = world.store.takeovers.load(Ordering::Relaxed);
             world.record.line(&format!(
                 "{busy} servers are busy with {in_flight} requests; partitions taken over so far: {takeovers}, \
@@ -794,3 +706,121 @@
     );
     verdict(&world, 0 < get(&unreached) && 9 * get(&first) <= 10 * get(&first_reached), &text)
 }
+
+/// Programs that are under way when the owner of their accounts is killed go on long after.
+fn underway() -> i32 {
+    let plan = Plan {
+        hosts: 3,
+        servers: 9,
+        applications: 3,
+        memory_mb: 290,
+        retention_s: 300,
+        routes: format!("{},{},{}", chat_route(), assist_route(60), fetch_route()),
+        behaviour: Behaviour { events: 2, ..behaviour() },
+    };
+    let world = World::start(&plan);
+    if !world.wait_until_ready() {
+        return 2;
+    }
+    // A turn generates 50 tokens of at most 100.
+    let (programs, budget, max_output) = (36usize, 800, 100);
+    let send = |program: usize, number: usize, tries: usize, previous: Option<&str>| {
+        let id = world.new_id();
+        let host = &world.hosts[(program + number + tries) % world.hosts.len()];
+        let name = format!("dd{program:04}");
+        let turn = Turn {
+            program: &name,
+            previous,
+            budget,
+            max_output,
+            body: b"a question",
+            deadline_ms: 3_000,
+            finish_ms: 90_000,
+            prefix: CHAT,
+        };
+        let answer = match Client::connect(host.caller, Duration::from_secs(5)) {
+            Ok(mut client) => send_turn(&mut client, &id, &turn),
+            Err(error) => Answer { error: error.to_string(), ..Answer::default() },
+        };
+        let ran = world.run_of(&id).is_some();
+        let detail = if answer.status == 200 {
+            String::new()
+        } else {
+            String::from_utf8_lossy(&answer.body).into_owned()
+        };
+        world.record.line(&format!(
+            "client: {name} turn {number} {id} after {previous:?} to {}: {} {} {} {detail} ran: {ran}",
+            host.name, answer.status, if answer.is_whole { "whole" } else { "broken" }, answer.error
+        ));
+        (id, answer.status == 200 && answer.is_whole, answer.status, ran)
+    };
+    // Returns the turn that was answered whole, or how many tries failed and whether one reached a server.
+    let take_turn = |program: usize, number: usize, previous: Option<&str>| {
+        let (mut reached, mut tries) = (false, 0);
+        while tries < 6 {
+            let (id, is_whole, status, ran) = send(program, number, tries, previous);
+            tries += 1;
+            reached |= ran;
+            if is_whole {
+                return Ok(id);
+            }
+            if matches!(status, 402 | 404) {
+                break;
+            }
+            thread::sleep(Duration::from_millis(300));
+        }
+        Err((tries, reached))
+    };
+    let previous: Vec<Mutex<Option<String>>> = (0..programs).map(|_| Mutex::default()).collect();
+    let (lost, ended) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let (first, first_reached) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let run = |numbers: std::ops::Range<usize>, counts: bool| {
+        thread::scope(|scope| {
+            for program in 0..programs {
+                let (previous, take_turn, numbers) = (&previous, &take_turn, numbers.clone());
+                let (lost, ended) = (&lost, &ended);
+                scope.spawn(move || {
+                    let mut last = previous[program].lock().unwrap();
+                    for number in numbers {
+                        match take_turn(program, number, last.as_deref()) {
+                            Ok(id) => *last = Some(id),
+                            Err((tries, reached)) => {
+                                let is_lost = counts && 5 <= tries && !reached;
+                                lost.fetch_add(usize::from(is_lost), Ordering::Relaxed);
+                                return;
+                            }
+                        }
+                        thread::sleep(Duration::from_millis(100));
+                    }
+                    ended.fetch_add(usize::from(counts), Ordering::Relaxed);
+                });
+            }
+        });
+    };
+    run(0..2, false);
+    if is_troubled() {
+        world.hosts[1].kill_and_start(Duration::from_secs(1));
+        if !world.wait_until_ready() {
+            return 2;
+        }
+    }
+    // Longer than `contact_ms` after the machine is ready again.
+    thread::sleep(Duration::from_secs(8));
+    world.record.line("the programs go on");
+    thread::scope(|scope| {
+        scope.spawn(|| run(2..15, true));
+        for other in 1_000..1_060 {
+            let (_, _, _, ran) = send(other, 0, 0, None);
+            first.fetch_add(1, Ordering::Relaxed);
+            first_reached.fetch_add(usize::from(ran), Ordering::Relaxed);
+            thread::sleep(Duration::from_millis(60));
+        }
+    });
+    let get = |it: &AtomicUsize| it.load(Ordering::Relaxed);
+    let text = format!(
+        "{} of {programs} programs ended with 15 turns, 750 tokens of {budget}; turns that reached no server in 5 tries \
+         or more: {}; {} of {} first turns of other programs reached one",
+        get(&ended), get(&lost), get(&first_reached), get(&first)
+    );
+    verdict(&world, 0 < get(&lost) && 9 * get(&first) <= 10 * get(&first_reached), &text)
+}
--- a/review/harness-2/net.rs
+++ b/review/harness-2/net.rs
@@ -100,7 +100,8 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut bytes = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n", body.len()).into_bytes();
+    let mut bytes =
+        format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n", body.len()).into_bytes();
     for (name, value) in headers {
         bytes.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
     }
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -96,7 +96,11 @@
         let mut reader = BufReader::new(socket);
         while let Ok(Some(request)) = read_request(&mut reader) {
             let (status, body) = self.handle(&request);
-            let kind = if body.first() == Some(&b'{') { "application/json" } else { "application/octet-stream" };
+            let kind = if body.first() == Some(&b'{') {
+                "application/json"
+            } else {
+                "application/octet-stream"
+            };
             if write_response(&mut writer, status, &[("Content-Type", kind)], &body).is_err() {
                 return;
             }
@@ -168,7 +172,10 @@
             }
             if let (Some(seq), true) = (seq, count != 0) {
                 if let Some((_, offset, end)) = known.2.iter().find(|it| it.0 == seq) {
-                    return (200, format!("{{\"offset\":{offset},\"end_offset\":{end}}}").into_bytes());
+                    return (
+                        200,
+                        format!("{{\"offset\":{offset},\"end_offset\":{end}}}").into_bytes(),
+                    );
                 }
                 if let Some(expected) = known.1.filter(|it| *it != seq) {
                     return (409, format!("{{\"why\":\"seq\",\"seq\":{expected}}}").into_bytes());
@@ -185,7 +192,14 @@
         (200, format!("{{\"offset\":{offset},\"end_offset\":{end}}}").into_bytes())
     }
 
-    fn read(&self, topic: &str, index: u32, from: u64, max: usize, wait: Duration) -> (u16, Vec<u8>) {
+    fn read(
+        &self,
+        topic: &str,
+        index: u32,
+        from: u64,
+        max: usize,
+        wait: Duration,
+    ) -> (u16, Vec<u8>) {
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
@@ -210,7 +224,8 @@
                 return (404, b"{}".to_vec());
             }
             let left = until.saturating_duration_since(Instant::now());
-            state = self.changed.wait_timeout(state, left.min(Duration::from_millis(500))).unwrap().0;
+            state =
+                self.changed.wait_timeout(state, left.min(Duration::from_millis(500))).unwrap().0;
         }
     }
 
@@ -231,7 +246,11 @@
             items.push(format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"));
         }
         let (items, end) = (items.join(","), part.end());
-        (200, format!("{{\"items\":[{items}],\"has_more\":{has_more},\"end_offset\":{end}}}").into_bytes())
+        (
+            200,
+            format!("{{\"items\":[{items}],\"has_more\":{has_more},\"end_offset\":{end}}}")
+                .into_bytes(),
+        )
     }
 }
 
@@ -282,7 +301,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let all = chunk.iter().fold(0u32, |sum, it| sum << 8 | u32::from(*it)) << (8 * (3 - chunk.len()));
+        let all =
+            chunk.iter().fold(0u32, |sum, it| sum << 8 | u32::from(*it)) << (8 * (3 - chunk.len()));
         for digit in 0..4 {
             let is_padding = chunk.len() < digit;
             let index = (all >> (18 - 6 * digit) & 63) as usize;
--- a/review/harness-2/world.rs
+++ b/review/harness-2/world.rs
@@ -115,7 +115,9 @@
 
 /// FNV-1a, to compare bodies.
 pub fn digest(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |sum, it| (sum ^ u64::from(*it)).wrapping_mul(0x100_0000_01b3))
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |sum, it| (sum ^ u64::from(*it)).wrapping_mul(0x100_0000_01b3))
 }
 
 pub fn route(name: &str, prefix: &str, kind: &str, service: &str, more: &str) -> String {
@@ -129,7 +131,8 @@
 impl World {
     pub fn start(plan: &Plan) -> World {
         let case = std::env::var("CASE_DIR").unwrap_or_else(|_| ".".to_owned());
-        let file = File::create(PathBuf::from(&case).join("record.txt")).expect("record.txt can be written");
+        let file = File::create(PathBuf::from(&case).join("record.txt"))
+            .expect("record.txt can be written");
         let record = Arc::new(Record { file: Mutex::new(file), started: Instant::now() });
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("rosethread-review-{pid}"));
@@ -141,17 +144,20 @@
             .step_by(16)
             .map(|it| it + (pid % 16) as u16)
             .find(|base| {
-                (1..=plan.hosts as u8)
-                    .all(|host| (0..6).all(|port| is_free(SocketAddr::from((ip(host), base + port)))))
+                (1..=plan.hosts as u8).all(|host| {
+                    (0..6).all(|port| is_free(SocketAddr::from((ip(host), base + port))))
+                })
             })
             .expect("there are free ports");
-        let store = Store::start(SocketAddr::from((ip(200), 0)), Duration::from_secs(plan.retention_s));
+        let store =
+            Store::start(SocketAddr::from((ip(200), 0)), Duration::from_secs(plan.retention_s));
         let (runs, behaviour) = (Arc::default(), Arc::new(Mutex::new(plan.behaviour.clone())));
         let is_over = Arc::new(AtomicBool::new(false));
         let mut servers = Vec::new();
-        for (service, count, first) in
-            [("lm-pool", plan.servers, 0x7f3a_91c2_u32), ("edit-api", plan.applications, 0x02d9_e6b4)]
-        {
+        for (service, count, first) in [
+            ("lm-pool", plan.servers, 0x7f3a_91c2_u32),
+            ("edit-api", plan.applications, 0x02d9_e6b4),
+        ] {
             for index in 0..count {
                 let listener = TcpListener::bind((IpAddr::V4(ip(201)), 0)).expect("a port is free");
                 let server = Arc::new(Server {
@@ -165,7 +171,8 @@
                     (server.clone(), Arc::clone(&runs), Arc::clone(&behaviour));
                 thread::spawn(move || {
                     for socket in listener.incoming().flatten() {
-                        let (server, runs, behaviour) = (served.clone(), runs.clone(), behaviour.clone());
+                        let (server, runs, behaviour) =
+                            (served.clone(), runs.clone(), behaviour.clone());
                         thread::spawn(move || server.serve(socket, &runs, &behaviour));
                     }
                 });
@@ -187,8 +194,9 @@
             store.put("keyed.servers", &server.name, server.entry().as_bytes());
         }
         let mut hosts = Vec::new();
-        let seeds: Vec<String> =
-            (1..=plan.hosts.min(3) as u8).map(|it| format!("\"{}:{}\"", ip(it), base + 3)).collect();
+        let seeds: Vec<String> = (1..=plan.hosts.min(3) as u8)
+            .map(|it| format!("\"{}:{}\"", ip(it), base + 3))
+            .collect();
         for index in 1..=plan.hosts as u8 {
             let at = |port: u16| SocketAddr::from((ip(index), base + port));
             let name = format!("front-a-{index}");
@@ -242,7 +250,8 @@
 
     /// Renews the servers' entries every 1.2 s.
     fn keep_registered(&self) {
-        let (store, servers, is_over) = (self.store.clone(), self.servers.clone(), self.is_over.clone());
+        let (store, servers, is_over) =
+            (self.store.clone(), self.servers.clone(), self.is_over.clone());
         thread::spawn(move || {
             while !is_over.load(Ordering::Relaxed) {
                 thread::sleep(Duration::from_millis(1_200));
@@ -255,7 +264,8 @@
 
     /// Ends all processes, and the script without a verdict, if it lasts too long.
     fn limit_time(&self) {
-        let (hosts, record, is_over) = (self.hosts.clone(), self.record.clone(), self.is_over.clone());
+        let (hosts, record, is_over) =
+            (self.hosts.clone(), self.record.clone(), self.is_over.clone());
         let folder = self.folder.clone();
         thread::spawn(move || {
             thread::sleep(MAX_TIME);
@@ -361,11 +371,21 @@
         result
     }
 
-    fn write_answer(&self, id: &str, socket: &mut TcpStream, it: &Behaviour) -> std::io::Result<()> {
+    fn write_answer(
+        &self,
+        id: &str,
+        socket: &mut TcpStream,
+        it: &Behaviour,
+    ) -> std::io::Result<()> {
         if self.service != "lm-pool" {
             thread::sleep(it.pause);
             let body = vec![b'x'; it.answer_bytes];
-            return write_response(socket, 200, &[("Attempt-Id", id), ("Response-Seal", "3e1b.07.5a2")], &body);
+            return write_response(
+                socket,
+                200,
+                &[("Attempt-Id", id), ("Response-Seal", "3e1b.07.5a2")],
+                &body,
+            );
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.5a2\r\nContent-Type: text/event-stream\r\n\
@@ -383,8 +403,13 @@
 
 impl Host {
     fn start(&self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("the log can be written");
-        let program = std::env::var("ROSETHREAD").unwrap_or_else(|_| "target/release/rosethread".to_owned());
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("the log can be written");
+        let program =
+            std::env::var("ROSETHREAD").unwrap_or_else(|_| "target/release/rosethread".to_owned());
         let child = Command::new(program)
             .args(["--platform", "--log-format", "json"])
             .env("ROSETHREAD_SETTINGS", &self.settings)
@@ -409,7 +434,10 @@
             if let Some(kb) = resident_kb(process.id()) {
                 self.peak_kb.fetch_max(kb, Ordering::Relaxed);
                 if self.memory_mb << 10 < kb {
-                    reason = Some(format!("killed: {kb} kB of memory are more than {} MB", self.memory_mb));
+                    reason = Some(format!(
+                        "killed: {kb} kB of memory are more than {} MB",
+                        self.memory_mb
+                    ));
                     let _ = process.kill();
                     let _ = process.wait();
                 }
@@ -456,7 +484,10 @@
     pub fn remove(&self) {
         self.is_planned.store(true, Ordering::Relaxed);
         if let Some(child) = self.child.lock().unwrap().as_ref() {
-            self.record.line(&format!("platform: SIGTERM to the process of {}, which is removed", self.name));
+            self.record.line(&format!(
+                "platform: SIGTERM to the process of {}, which is removed",
+                self.name
+            ));
             let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
         }
     }
@@ -539,4 +570,3 @@
     println!("{word}: {text}");
     i32::from(is_broken)
 }
-
