--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -363,36 +363,37 @@
     }
     let (program, budget, max_output) = ("feedface01", 400u64, 100u64);
     let mut tokens = 0;
-    let mut spend = |name: &str| {
-        let mut spent = 0;
-        for attempt in 0..10usize {
-            let id = world.new_id();
-            let host = &world.hosts[attempt % world.hosts.len()];
-            let turn = Turn {
-                program,
-                previous: None,
-                budget,
-                max_output,
-                body: b"once more",
-                deadline_ms: 3_000,
-                finish_ms: 100_000,
-                prefix: ASSIST,
-            };
-            let answer = match Client::connect(host.caller, Duration::from_secs(5)) {
-                Ok(mut client) => send_turn(&mut client, &id, &turn),
-                Err(error) => Answer { error: error.to_string(), ..Answer::default() },
-            };
-            let events = answer.body.windows(6).filter(|it| it == b"\ndata:").count() as u64;
-            tokens += 25 * events;
-            spent += 25 * events;
-            world.record.line(&format!(
-                "client: {name}: turn {id} to {}: {} {} events, {tokens} tokens in all {}",
-                host.name, answer.status, events, answer.error
+    let mut spend =
+        |name: &str| {
+            let mut spent = 0;
+            for attempt in 0..10usize {
+                let id = world.new_id();
+                let host = &world.hosts[attempt % world.hosts.len()];
+                let turn = Turn {
+                    program,
+                    previous: None,
+                    budget,
+                    max_output,
+                    body: b"once more",
+                    deadline_ms: 3_000,
+                    finish_ms: 100_000,
+                    prefix: ASSIST,
+                };
+                let answer = match Client::connect(host.caller, Duration::from_secs(5)) {
+                    Ok(mut client) => send_turn(&mut client, &id, &turn),
+                    Err(error) => Answer { error: error.to_string(), ..Answer::default() },
+                };
+                let events = answer.body.windows(6).filter(|it| it == b"\ndata:").count() as u64;
+                tokens += 25 * events;
+                spent += 25 * events;
+                world.record.line(&format!(
+                "client: {name}: turn {id} to {}: {} {} events, {tokens} tokens in all {} ran: {}",
+                host.name, answer.status, events, answer.error, world.run_of(&id).is_some()
             ));
-            thread::sleep(Duration::from_millis(300));
-        }
-        spent
-    };
+                thread::sleep(Duration::from_millis(300));
+            }
+            spent
+        };
     let before = spend("before");
     let started = Instant::now();
     while started.elapsed() < Duration::from_secs(85) {
