Heartbeats stay within what receivers accept, at any number of targets

Cause: a host's report names all targets at which it has requests, and all limits that targets named to it. Detector::build_message put it whole into each message and limited only the reports about others, while AuthKeys::decode drops what is longer than 900 bytes. From about 60 busy targets on nobody took the host's heartbeats any more: hosts that run held each other for dead, and each claimed the shards of the other.

Nothing counted dropped datagrams, so rosethread_entry_dropped_datagrams_total and a log line with size and address were added at both ends.

Change: status, version and addresses are always in a report; of loads and limits as many as fit, other ones in each version. Receivers keep what earlier reports of the run told for 10 s. Reports of nodes that take no new work are passed on without loads. A datagram that is too long all the same is counted and not sent. A complete report is encoded as before; the positions of partial ones follow the notices, where hosts of the last release don't look (a_partial_report_is_read_by_both_releases).

--- a/crates/rosethread_entry/src/control.rs
+++ b/crates/rosethread_entry/src/control.rs
@@ -60,6 +60,7 @@
         datagrams: entry.datagrams.clone(),
         view: entry.view.clone(),
         suspicions: Arc::new(AtomicU64::new(0)),
+        dropped: entry.dropped_datagrams.clone(),
         logger: entry.logger.clone(),
     }
 }
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -33,6 +33,7 @@
             power: processor_percent(&entry),
             targets: entry.loads.summary(),
             limits: report_limits(&entry),
+            is_partial: false,
         };
         let pending = entry.suspects.take_pending();
         if !pending.is_empty() && members.tell(Announce(pending)).await.is_err() {
@@ -42,6 +43,7 @@
         entry.metrics.limited_targets.set(entry.limits.named_count() as i64);
         entry.metrics.lost_paths.set(entry.paths.lost_count() as i64);
         entry.metrics.nodes.set(entry.view().live().count() as i64);
+        entry.metrics.count_dropped(&entry.dropped_datagrams);
         if members.tell(SetSummary(summary)).await.is_err() {
             return;
         }
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -15,7 +15,7 @@
 use rosethread_config::KeySettings;
 use rosethread_membership::{AuthKeys, ClusterView, Contact, Status};
 use rosethread_platform::{Clock, SharedLog};
-use rosethread_runtime::{DatagramTransport, RandomSource, TaskSpawner, Timer};
+use rosethread_runtime::{DatagramTransport, DroppedDatagrams, RandomSource, TaskSpawner, Timer};
 use rosethread_types::{Incarnation, RequestId, ServiceName, TargetName};
 use slog::{Logger, info, warn};
 use tokio::{
@@ -123,6 +123,7 @@
     pub(crate) upstream: Arc<dyn Upstream>,
     pub(crate) peers: Arc<dyn PeerClient>,
     pub(crate) datagrams: Arc<dyn DatagramTransport>,
+    pub(crate) dropped_datagrams: DroppedDatagrams,
     pub(crate) routes: watch::Sender<Arc<Routes>>,
     /// The registrations of targets; `targets` is the published snapshot that calls read.
     pub(crate) registry: Mutex<TargetRegistry>,
@@ -232,6 +233,7 @@
             upstream: dependencies.upstream,
             peers: dependencies.peers,
             datagrams: dependencies.datagrams,
+            dropped_datagrams: DroppedDatagrams::default(),
             random: dependencies.random,
             tasks: dependencies.tasks,
             logger: dependencies.logger,
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -1,12 +1,13 @@
 //! Prometheus metrics of an entry, the process that accepts calls on a host; they are served at its
 //! metrics address.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use prometheus::{
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
+use rosethread_runtime::DroppedDatagrams;
 
 /// Upper bounds of the latency histogram buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 14] =
@@ -89,6 +90,9 @@
     pub body_bytes: IntGauge,
     /// Number of nodes that the membership protocol considers alive, with this one.
     pub nodes: IntGauge,
+    /// Number of datagrams that were dropped on purpose, by cause: `unsent` (longer than the receivers
+    /// accept) or `rejected` (not accepted from another host).
+    pub dropped_datagrams: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -227,6 +231,11 @@
             ),
             body_bytes: gauge("rosethread_entry_body_bytes", "Bytes held by bodies of requests."),
             nodes: gauge("rosethread_entry_nodes", "Nodes believed to be alive."),
+            dropped_datagrams: counter_vec(
+                "rosethread_entry_dropped_datagrams_total",
+                "Datagrams of the membership protocol dropped on purpose, by cause.",
+                "cause",
+            ),
             registry,
         }
     }
@@ -237,6 +246,14 @@
         self.call_seconds.with_label_values(&[kind]).observe(time.as_secs_f64());
     }
 
+    /// Counts the datagrams that membership has dropped since the last call.
+    pub(crate) fn count_dropped(&self, dropped: &DroppedDatagrams) {
+        for (cause, total) in [("unsent", &dropped.unsent), ("rejected", &dropped.rejected)] {
+            let counter = self.dropped_datagrams.with_label_values(&[cause]);
+            counter.inc_by(total.load(Ordering::Relaxed).saturating_sub(counter.get()));
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn render(&self) -> Result<String, prometheus::Error> {
         TextEncoder::new().encode_to_string(&self.registry.gather())
--- a/crates/rosethread_membership/src/detector.rs
+++ b/crates/rosethread_membership/src/detector.rs
@@ -16,7 +16,9 @@
 
 use crate::{
     AgedNotice, ClusterView, Contact, Message, MessageKind, NodeState, NodeSummary, Notice, Status,
-    notices::NoticeBoard, wire,
+    loads::{ReportedLoads, SummaryCutter},
+    notices::NoticeBoard,
+    wire,
 };
 
 /// The most nodes that are asked to probe a node which has not acknowledged a ping.
@@ -67,7 +69,10 @@
 }
 
 struct Peer {
+    /// The last report, as it is passed on.
     state: NodeState,
+    /// What partial reports have told; absent after a report that is complete.
+    reported: Option<ReportedLoads>,
     /// When the status last changed.
     status_since: Duration,
     /// How many times the current report has been sent.
@@ -80,6 +85,59 @@
     sent: Duration,
 }
 
+impl Peer {
+    fn new(state: NodeState, now: Duration, transmissions: u32) -> Peer {
+        let mut peer = Peer { state, reported: None, status_since: now, transmissions };
+        peer.add_reported(None, now);
+        peer
+    }
+
+    /// Replaces the report by a newer one.
+    fn update(&mut self, state: NodeState, now: Duration) {
+        if self.state.status != state.status {
+            self.status_since = now;
+        }
+        let is_same_run = self.state.incarnation == state.incarnation;
+        let before = std::mem::replace(&mut self.state, state);
+        self.transmissions = 0;
+        self.add_reported(Some(before).filter(|_| is_same_run), now);
+    }
+
+    /// Adds the loads in the report to those of earlier ones of the same run, of which `before` is the
+    /// last, unless the report is complete.
+    fn add_reported(&mut self, before: Option<NodeState>, now: Duration) {
+        if !self.state.summary.is_partial {
+            self.reported = None;
+            return;
+        }
+        let mut reported = self.reported.take().filter(|_| before.is_some()).unwrap_or_default();
+        if let Some(before) = before.filter(|it| !it.summary.is_partial) {
+            reported.add(&before.summary, now);
+        }
+        reported.add(&self.state.summary, now);
+        reported.expire(now);
+        self.reported = Some(reported);
+    }
+
+    /// Returns the state with all loads and limits that the node has told.
+    fn known_state(&self) -> NodeState {
+        let mut state = self.state.clone();
+        if let Some(reported) = &self.reported {
+            state.summary = reported.complete(&state.summary);
+        }
+        state
+    }
+
+    /// Returns the report to pass on. That of a node which takes no new work lacks the loads, as nobody
+    /// uses them, so that news of statuses is short.
+    fn report(&self) -> NodeState {
+        if self.state.status == Status::Alive {
+            return self.state.clone();
+        }
+        NodeState { summary: self.state.summary.without_loads(), ..self.state.clone() }
+    }
+}
+
 /// A ping sent on behalf of another node, which awaits its acknowledgement.
 struct RelayedProbe {
     origin: SocketAddr,
@@ -93,6 +151,11 @@
 pub struct Detector {
     config: DetectorConfig,
     own_state: NodeState,
+    /// What this node reports about itself, which may be a part of `own_state`.
+    own_summary: NodeSummary,
+    cutter: SummaryCutter,
+    /// The time of the last tick.
+    last_tick: Duration,
     peers: BTreeMap<NodeName, Peer>,
     /// The nodes still to be probed in this round, in random order; taken from the end.
     probe_round: Vec<NodeName>,
@@ -122,6 +185,9 @@
         Detector {
             config,
             own_state,
+            own_summary: NodeSummary::default(),
+            cutter: SummaryCutter::default(),
+            last_tick: Duration::ZERO,
             peers: BTreeMap::new(),
             probe_round: Vec::new(),
             contested: Vec::new(),
@@ -135,10 +201,16 @@
     }
 
     /// Replaces the data that this node reports about itself.
+    ///
+    /// If it doesn't fit into a report, each call makes another version, with another part of it.
     pub fn set_summary(&mut self, summary: NodeSummary) {
-        if self.own_state.summary != summary {
+        if self.own_state.summary != summary || self.own_summary.is_partial {
             self.own_state.summary = summary;
             self.own_state.version += 1;
+            let room = wire::load_room(&self.own_state);
+            let random = self.next_random();
+            let summary = &self.own_state.summary;
+            self.own_summary = self.cutter.cut(summary, room, random, self.last_tick);
         }
     }
 
@@ -174,8 +246,7 @@
             contact,
             summary: NodeSummary::default(),
         };
-        self.peers
-            .insert(node, Peer { state, status_since: now, transmissions: MAX_TRANSMISSIONS });
+        self.peers.insert(node, Peer::new(state, now, MAX_TRANSMISSIONS));
     }
 
     /// Returns a ping to a host of which only the address is known.
@@ -205,7 +276,7 @@
     /// Returns a snapshot of all known nodes, including this one.
     pub fn view(&self) -> ClusterView {
         let mut nodes: BTreeMap<NodeName, NodeState> =
-            self.peers.iter().map(|(name, it)| (name.clone(), it.state.clone())).collect();
+            self.peers.iter().map(|(name, it)| (name.clone(), it.known_state())).collect();
         nodes.insert(self.own_state.node.clone(), self.own_state.clone());
         ClusterView { nodes, notices: self.notices.list() }
     }
@@ -225,6 +296,7 @@
     ///
     /// Call it once a period.
     pub fn tick(&mut self, now: Duration) -> Vec<OutgoingMessage> {
+        self.last_tick = now;
         self.check_pending_probe(now);
         self.expire_suspects(now);
         self.prune(now);
@@ -371,6 +443,7 @@
     fn prune(&mut self, now: Duration) {
         let ttl = self.config.period * DEAD_RETENTION_PERIODS;
         self.peers.retain(|_, it| it.state.status != Status::Dead || now < it.status_since + ttl);
+        self.peers.values_mut().filter_map(|it| it.reported.as_mut()).for_each(|it| it.expire(now));
         let relay_timeout = self.config.period;
         self.relayed.retain(|_, it| now < it.sent + relay_timeout);
     }
@@ -436,13 +509,7 @@
             return;
         }
         match self.peers.get_mut(&state.node) {
-            Some(peer) if state.supersedes(&peer.state) => {
-                if peer.state.status != state.status {
-                    peer.status_since = now;
-                }
-                peer.state = state;
-                peer.transmissions = 0;
-            }
+            Some(peer) if state.supersedes(&peer.state) => peer.update(state, now),
             Some(peer) => {
                 let is_same_run = state.incarnation == peer.state.incarnation;
                 let is_contested =
@@ -453,10 +520,7 @@
             }
             None if state.status == Status::Dead => (),
             None => {
-                self.peers.insert(
-                    state.node.clone(),
-                    Peer { state, status_since: now, transmissions: 0 },
-                );
+                self.peers.insert(state.node.clone(), Peer::new(state, now, 0));
             }
         }
     }
@@ -471,7 +535,8 @@
     }
 
     /// Builds a message with as many reports as fit: recent status changes first, then the reports
-    /// that were sent least often. Notices go before other nodes' reports: there are seldom any.
+    /// that were sent least often. Notices go before other nodes' reports, of which one always fits, if
+    /// need be without its loads.
     fn build_message(
         &mut self,
         now: Duration,
@@ -479,9 +544,10 @@
         kind: MessageKind,
         number: u64,
     ) -> OutgoingMessage {
-        let mut states = vec![self.own_state.clone()];
-        let mut room = wire::MAX_STATES_BYTES.saturating_sub(wire::state_bytes(&self.own_state));
-        let notices = self.notices.pick(now, room);
+        let own = NodeState { summary: self.own_summary.clone(), ..self.own_state.clone() };
+        let mut room = wire::MAX_STATES_BYTES.saturating_sub(wire::encoded_bytes(&own));
+        let mut states = vec![own];
+        let notices = self.notices.pick(now, room.saturating_sub(wire::MAX_STATUS_BYTES));
         room -= wire::notices_bytes(&notices);
         let seed = self.next_random();
         let rank = |(index, (name, it)): (u64, (&NodeName, &Peer))| {
@@ -497,13 +563,16 @@
             let Some(peer) = self.peers.get_mut(&name) else {
                 continue;
             };
-            let bytes = wire::state_bytes(&peer.state);
-            if room < bytes {
-                break;
+            let mut report = peer.report();
+            if states.len() == 1 && room < wire::encoded_bytes(&report) {
+                report.summary = report.summary.without_loads();
             }
-            room -= bytes;
+            let Some(left) = room.checked_sub(wire::encoded_bytes(&report)) else {
+                break;
+            };
+            room = left;
             peer.transmissions = peer.transmissions.saturating_add(1);
-            states.push(peer.state.clone());
+            states.push(report);
         }
         OutgoingMessage { to, message: Message { kind, number, states, notices } }
     }
--- a/crates/rosethread_membership/src/lib.rs
+++ b/crates/rosethread_membership/src/lib.rs
@@ -6,6 +6,7 @@
 //! the journal. See `docs/design/membership.md`.
 
 mod detector;
+mod loads;
 mod message;
 mod notices;
 mod rendezvous;
--- a/crates/rosethread_membership/src/message.rs
+++ b/crates/rosethread_membership/src/message.rs
@@ -31,7 +31,8 @@
     pub number: u64,
     /// The sender's own report, followed by gossip about other nodes.
     pub states: Vec<NodeState>,
-    /// Facts for all nodes, which are encoded behind the rest of the message.
+    /// Facts for all nodes, which are encoded behind the rest of the message; the positions of
+    /// partial reports follow them.
     #[serde(skip)]
     pub notices: Vec<AgedNotice>,
 }
--- a/crates/rosethread_membership/src/state.rs
+++ b/crates/rosethread_membership/src/state.rs
@@ -74,6 +74,18 @@
     pub targets: Vec<TargetLoad>,
     /// The limits that targets named to the node.
     pub limits: Vec<TargetLimit>,
+    /// Whether loads and limits of some targets only are told, since all of them don't fit into a
+    /// report. Nothing is said of the others. It is encoded behind the rest of a message.
+    #[serde(skip)]
+    pub is_partial: bool,
+}
+
+impl NodeSummary {
+    /// Returns the summary without what is told of targets.
+    pub(crate) fn without_loads(&self) -> NodeSummary {
+        let (targets, limits) = (Vec::new(), Vec::new());
+        NodeSummary { targets, limits, is_partial: true, ..*self }
+    }
 }
 
 /// The latest report about one node.
--- a/crates/rosethread_membership/tests/wire.rs
+++ b/crates/rosethread_membership/tests/wire.rs
@@ -103,6 +103,7 @@
                 start: Incarnation(1_000),
                 milli_per_s: 2_500,
             }],
+            is_partial: false,
         },
     }
 }
@@ -143,6 +144,43 @@
     assert_eq!(keys(1).decode(&bytes, 1_000), Ok(message_with(notices())));
 }
 
+/// A report of 80 busy targets, and whether others are left out of it.
+fn busy_report(is_partial: bool) -> NodeState {
+    let load = |it: usize| TargetLoad {
+        target: format!("t-{it}").parse().unwrap(),
+        running: 1,
+        waiting: 0,
+    };
+    let summary =
+        NodeSummary { targets: (0..80).map(load).collect(), is_partial, ..report().summary };
+    NodeState { summary, ..report() }
+}
+
+/// Hosts of the last release read a report of many busy targets, partial or not, as a complete one, and this
+/// one reads theirs.
+fn check_busy_report(notices: Vec<AgedNotice>, is_partial: bool) {
+    let states = vec![report(), busy_report(is_partial)];
+    let sent = Message { states, ..message_with(notices.clone()) };
+    let bytes = keys(1).encode(&sent, 1_000);
+    assert!(bytes.len() <= MAX_DATAGRAM);
+    assert_eq!(keys(1).decode(&bytes, 1_000), Ok(sent));
+    let (datagram, rest): (LastReleaseDatagram, &[u8]) =
+        postcard::take_from_bytes(&bytes[MAC_BYTES..]).unwrap();
+    assert_eq!(datagram.message.states, [report(), busy_report(false)]);
+    if !rest.is_empty() {
+        // The kind, the age and the body of each notice; what follows is not read.
+        type EncodedNotices = Vec<(u8, u16, Vec<u8>)>;
+        let (read, _): (EncodedNotices, &[u8]) = postcard::take_from_bytes(rest).unwrap();
+        assert_eq!(read.len(), notices.len());
+    }
+}
+
+rosethread_cases::cases!(check_busy_report {
+    a_report_of_many_targets_is_read_by_both_releases: (Vec::new(), false);
+    a_partial_report_is_read_by_both_releases: (Vec::new(), true);
+    a_partial_report_with_notices_is_read_by_both_releases: (notices(), true);
+});
+
 /// Signs a body that a later release may send, with what `tail` adds to a message without notices.
 fn later_datagram(tail: &[u8]) -> Vec<u8> {
     use hmac::{Hmac, KeyInit, Mac};
@@ -165,4 +203,5 @@
         vec![AgedNotice { notice: Notice::Completed { call: 3 }, age: Duration::ZERO }]);
     a_notice_with_too_few_bytes_is_skipped: (&[1, 2, 0, 2, 3, 0], Vec::new());
     what_follows_the_notices_is_skipped: (&[0, 1, 2, 3, 4], Vec::new());
+    what_follows_the_partial_reports_is_skipped: (&[0, 0, 1, 2, 3], Vec::new());
 });
--- a/crates/rosethread_node/src/control.rs
+++ b/crates/rosethread_node/src/control.rs
@@ -11,7 +11,7 @@
 
 use rosethread_config::KeySettings;
 use rosethread_membership::{AuthKeys, DetectorConfig};
-use rosethread_runtime::{MembershipParts, start_membership};
+use rosethread_runtime::{DroppedDatagrams, MembershipParts, start_membership};
 
 use crate::core::Core;
 
@@ -49,6 +49,7 @@
         datagrams: core.datagrams.clone(),
         view: core.view.clone(),
         suspicions: core.suspicions.clone(),
+        dropped: DroppedDatagrams::default(),
         logger: core.logger.clone(),
     }
 }
--- a/crates/rosethread_node/src/control/periodic.rs
+++ b/crates/rosethread_node/src/control/periodic.rs
@@ -51,6 +51,7 @@
         power: 0,
         targets: target_loads(core),
         limits: Vec::new(),
+        is_partial: false,
     }
 }
 
--- a/crates/rosethread_runtime/src/lib.rs
+++ b/crates/rosethread_runtime/src/lib.rs
@@ -12,8 +12,8 @@
 mod transport;
 
 pub use membership::{
-    Announce, Leave, MembershipActor, MembershipParts, NodeList, PingAddresses, SetSummary,
-    start_membership,
+    Announce, DroppedDatagrams, Leave, MembershipActor, MembershipParts, NodeList, PingAddresses,
+    SetSummary, start_membership,
 };
 pub use random::RandomSource;
 pub use tasks::TaskSpawner;
--- a/crates/rosethread_runtime/src/membership.rs
+++ b/crates/rosethread_runtime/src/membership.rs
@@ -11,12 +11,12 @@
 
 use kameo::prelude::*;
 use rosethread_membership::{
-    AuthKeys, ClusterView, Contact, Detector, DetectorConfig, Message as Datagram, NodeSummary,
-    Notice, OutgoingMessage,
+    AuthKeys, ClusterView, Contact, Detector, DetectorConfig, MAX_DATAGRAM, Message as Datagram,
+    NodeSummary, Notice, OutgoingMessage,
 };
 use rosethread_platform::Clock;
 use rosethread_types::{Incarnation, NodeName};
-use slog::{Logger, debug, info};
+use slog::{Logger, debug, info, warn};
 use tokio::{
     sync::{mpsc, watch},
     time::Instant,
@@ -27,6 +27,18 @@
 /// The number of datagrams queued for sending, beyond which further ones are dropped.
 const SEND_BUFFER: usize = 256;
 
+/// The time between two log lines about datagrams that are not sent or not accepted.
+const LOG_PERIOD: Duration = Duration::from_secs(10);
+
+/// Counts datagrams that are dropped on purpose; clones share their counts.
+#[derive(Clone, Debug, Default)]
+pub struct DroppedDatagrams {
+    /// Datagrams that this node did not send, since they are longer than receivers accept.
+    pub unsent: Arc<AtomicU64>,
+    /// Datagrams of others that this node did not accept.
+    pub rejected: Arc<AtomicU64>,
+}
+
 /// The settings and dependencies of the membership actor.
 #[derive(Clone)]
 pub struct MembershipParts {
@@ -52,6 +64,8 @@
     pub view: watch::Sender<Arc<ClusterView>>,
     /// The number of suspicions that this node has raised since its start.
     pub suspicions: Arc<AtomicU64>,
+    /// The datagrams that were dropped since the start.
+    pub dropped: DroppedDatagrams,
     /// The logger for changes of status and for dropped datagrams.
     pub logger: Logger,
 }
@@ -63,10 +77,15 @@
     start: Instant,
     detector: Detector,
     sender: mpsc::Sender<OutgoingMessage>,
+    /// When a rejected datagram was last logged.
+    last_rejected: Option<Instant>,
 }
 
 /// Message: a datagram has arrived.
-struct DatagramReceived(Vec<u8>);
+struct DatagramReceived {
+    from: SocketAddr,
+    bytes: Vec<u8>,
+}
 
 /// Message: a probe period begins.
 struct PeriodStarted;
@@ -111,7 +130,13 @@
     parts.tasks.spawn_control(send_datagrams(parts.clone(), outgoing));
     let prepared = MembershipActor::prepare();
     let actor = prepared.actor_ref().clone();
-    let state = MembershipActor { parts: parts.clone(), start: Instant::now(), detector, sender };
+    let state = MembershipActor {
+        parts: parts.clone(),
+        start: Instant::now(),
+        detector,
+        sender,
+        last_rejected: None,
+    };
     parts.tasks.spawn_control(async move {
         // The actor runs until the node stops, so its result says nothing.
         let _ = prepared.run(state).await;
@@ -122,16 +147,34 @@
 }
 
 async fn send_datagrams(parts: MembershipParts, mut outgoing: mpsc::Receiver<OutgoingMessage>) {
+    let mut last_unsent = None;
     while let Some(outgoing) = outgoing.recv().await {
         let bytes = parts.keys.encode(&outgoing.message, parts.clock.now_ms());
-        parts.datagrams.send(outgoing.to, bytes).await;
+        if bytes.len() <= MAX_DATAGRAM {
+            parts.datagrams.send(outgoing.to, bytes).await;
+            continue;
+        }
+        let count = parts.dropped.unsent.fetch_add(1, Ordering::Relaxed) + 1;
+        if is_log_due(&mut last_unsent) {
+            warn!(parts.logger, "members: a datagram is too long to be sent"; "to" => %outgoing.to,
+                "bytes" => bytes.len(), "count" => count);
+        }
+    }
+}
+
+/// Returns whether [`LOG_PERIOD`] has passed since the last log line, and counts this one if so.
+fn is_log_due(last: &mut Option<Instant>) -> bool {
+    let is_due = last.is_none_or(|it| LOG_PERIOD <= it.elapsed());
+    if is_due {
+        *last = Some(Instant::now());
     }
+    is_due
 }
 
 async fn receive_datagrams(parts: MembershipParts, actor: ActorRef<MembershipActor>) {
     loop {
-        let bytes = parts.datagrams.receive().await;
-        if actor.tell(DatagramReceived(bytes)).await.is_err() {
+        let (from, bytes) = parts.datagrams.receive().await;
+        if actor.tell(DatagramReceived { from, bytes }).await.is_err() {
             return;
         }
     }
@@ -189,11 +232,18 @@
     type Reply = ();
 
     async fn handle(&mut self, message: DatagramReceived, _ctx: &mut Context<MembershipActor, ()>) {
-        let datagram: Datagram = match self.parts.keys.decode(&message.0, self.parts.clock.now_ms())
-        {
+        let DatagramReceived { from, bytes } = message;
+        let decoded = self.parts.keys.decode(&bytes, self.parts.clock.now_ms());
+        let datagram: Datagram = match decoded {
             Ok(datagram) => datagram,
             Err(error) => {
+                let count = self.parts.dropped.rejected.fetch_add(1, Ordering::Relaxed) + 1;
                 debug!(self.parts.logger, "members: dropped a datagram: {}", error);
+                if is_log_due(&mut self.last_rejected) {
+                    warn!(self.parts.logger, "members: a datagram is not accepted";
+                        "from" => %from, "bytes" => bytes.len(), "error" => %error,
+                        "count" => count);
+                }
                 return;
             }
         };
--- a/crates/rosethread_runtime/src/transport.rs
+++ b/crates/rosethread_runtime/src/transport.rs
@@ -3,17 +3,20 @@
 use std::{io, net::SocketAddr};
 
 use async_trait::async_trait;
-use rosethread_membership::MAX_DATAGRAM;
 use tokio::net::UdpSocket;
 
+/// The bytes of a datagram that are read: more than receivers accept, so that they can tell the size of
+/// one that is too long.
+const READ_BYTES: usize = 4_096;
+
 /// An unreliable datagram transport between nodes, for heartbeats.
 #[async_trait]
 pub trait DatagramTransport: Send + Sync {
     /// Sends a datagram, which may be lost.
     async fn send(&self, to: SocketAddr, bytes: Vec<u8>);
 
-    /// Waits for the next datagram.
-    async fn receive(&self) -> Vec<u8>;
+    /// Waits for the next datagram, and returns it with the address of its sender.
+    async fn receive(&self) -> (SocketAddr, Vec<u8>);
 }
 
 /// A UDP socket for heartbeats.
@@ -57,12 +60,12 @@
         let _ = self.socket.send_to(&bytes, to).await;
     }
 
-    async fn receive(&self) -> Vec<u8> {
-        let mut buffer = vec![0; MAX_DATAGRAM + 1];
+    async fn receive(&self) -> (SocketAddr, Vec<u8>) {
+        let mut buffer = vec![0; READ_BYTES];
         loop {
             // An error reports an earlier sent datagram, such as one to a closed port.
-            if let Ok((length, _)) = self.socket.recv_from(&mut buffer).await {
-                return buffer[..length].to_vec();
+            if let Ok((length, from)) = self.socket.recv_from(&mut buffer).await {
+                return (from, buffer[..length].to_vec());
             }
         }
     }
--- a/crates/rosethread_testbed/src/memory/network.rs
+++ b/crates/rosethread_testbed/src/memory/network.rs
@@ -38,7 +38,7 @@
 /// The datagrams that arrived at an address and were not received yet.
 #[derive(Default)]
 struct Inbox {
-    datagrams: Mutex<VecDeque<Vec<u8>>>,
+    datagrams: Mutex<VecDeque<(SocketAddr, Vec<u8>)>>,
     arrived: Notify,
 }
 
@@ -249,23 +249,27 @@
         if !self.network.state().can_reach(self.local.heartbeat, to) {
             return;
         }
-        let inbox = self.network.inbox(to);
+        let (inbox, from) = (self.network.inbox(to), self.local.heartbeat);
         for _ in 0..self.network.draw_copies() {
             let (inbox, bytes) = (inbox.clone(), bytes.clone());
             tokio::spawn(async move {
                 sleep(MESSAGE_DELAY).await;
-                inbox.datagrams.lock().expect("no holder of an inbox panics").push_back(bytes);
+                inbox
+                    .datagrams
+                    .lock()
+                    .expect("no holder of an inbox panics")
+                    .push_back((from, bytes));
                 inbox.arrived.notify_one();
             });
         }
     }
 
-    async fn receive(&self) -> Vec<u8> {
+    async fn receive(&self) -> (SocketAddr, Vec<u8>) {
         let inbox = self.network.inbox(self.local.heartbeat);
         loop {
             let next = inbox.datagrams.lock().expect("no holder of an inbox panics").pop_front();
             match next {
-                Some(bytes) => return bytes,
+                Some(datagram) => return datagram,
                 None => inbox.arrived.notified().await,
             }
         }
