A host that answers requests is not held for dead, and keeps its shards

Cause: a claimant asked the owner that the log names for its accounts only if its own view held that host for running, and fenced it otherwise. A view that is wrong, for whatever reason heartbeats are lost, thereby became a fact.

Ruled out as a mend: a pause for shards that were just taken from a host, which makes callers wait and doesn't find out who is right.

Change: a claimant asks the named owner whatever the view says, unless another run of its process is known; one held for dead has 150 ms to reply. Membership looks, for nodes in doubt only, whether they have replied to a request between hosts within a probe period, and doesn't suspect those.

It works since the evidence that decides, a reply over the connection that the shard's accounts would come over, is the one that was missing.

--- a/crates/rosethread_entry/src/control.rs
+++ b/crates/rosethread_entry/src/control.rs
@@ -16,7 +16,7 @@
 use rosethread_membership::{AuthKeys, DetectorConfig};
 use rosethread_runtime::{MembershipActor, MembershipParts, start_membership};
 
-use crate::{entry::Entry, history, quota, shards};
+use crate::{entry::Entry, history, peers::AnsweringPeers, quota, shards};
 
 pub(crate) use periodic::program_retention;
 pub(crate) use targets::{exclude_leaving, targets_reply};
@@ -58,6 +58,7 @@
         tasks: entry.tasks.clone(),
         timer: entry.timer.clone(),
         datagrams: entry.datagrams.clone(),
+        life_signs: Arc::new(AnsweringPeers(entry.peers.clone())),
         view: entry.view.clone(),
         suspicions: Arc::new(AtomicU64::new(0)),
         dropped: entry.dropped_datagrams.clone(),
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -142,7 +142,8 @@
     }
     let unable = |detail: String| NotOwned { owner: None, detail };
     let view = entry.view();
-    let state = view.get(owner).ok_or_else(|| unable("the node is not known here".to_owned()))?;
+    let state =
+        view.last_state(owner).ok_or_else(|| unable("the node is not known here".to_owned()))?;
     let request = PeerRequest::Ask { shard, ask: ask.clone() };
     match entry.peers.request(state.contact.peer, request).await {
         Ok(PeerReply::Verdict(verdict)) => Ok(verdict),
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -9,11 +9,12 @@
 mod client;
 mod server;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use displaydoc::Display;
+use rosethread_runtime::LifeSigns;
 use rosethread_types::{NodeName, RequestId, ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use tokio_util::codec::LengthDelimitedCodec;
@@ -227,6 +228,19 @@
 pub trait PeerClient: Send + Sync {
     /// Sends a request to the node at `to`, and waits for the reply.
     async fn request(&self, to: SocketAddr, request: PeerRequest) -> Result<PeerReply, PeerError>;
+
+    /// Returns whether the node at `to` has replied to a request within `time`, over a connection that
+    /// is still open.
+    fn has_replied(&self, to: SocketAddr, time: Duration) -> bool;
+}
+
+/// Tells membership of the nodes that reply to requests.
+pub(crate) struct AnsweringPeers(pub(crate) Arc<dyn PeerClient>);
+
+impl LifeSigns for AnsweringPeers {
+    fn has_answered(&self, peer: SocketAddr, time: Duration) -> bool {
+        self.0.has_replied(peer, time)
+    }
 }
 
 pub(crate) fn frame_codec() -> LengthDelimitedCodec {
--- a/crates/rosethread_entry/src/peers/client.rs
+++ b/crates/rosethread_entry/src/peers/client.rs
@@ -38,7 +38,7 @@
     frames: mpsc::Sender<Bytes>,
     pending: PendingReplies,
     /// When the last frame arrived.
-    last_received: watch::Receiver<Instant>,
+    last_received: watch::Receiver<Option<Instant>>,
 }
 
 #[derive(Default)]
@@ -72,7 +72,7 @@
         socket.set_nodelay(true).map_err(unreachable)?;
         let (frames, receiver) = mpsc::channel(MAX_QUEUED_REQUESTS);
         let pending = PendingReplies::default();
-        let (received, last_received) = watch::channel(Instant::now());
+        let (received, last_received) = watch::channel(None);
         tokio::spawn(run_connection(socket, receiver, pending.clone(), received));
         let mut connections = self.lock();
         connections.next_id += 1;
@@ -114,11 +114,18 @@
         let result = result.await.unwrap_or(Err(PeerError::TimedOut));
         connection.pending.lock().expect("the lock is not poisoned").remove(&id);
         // Keep the connection if other replies arrived on it: then only this request is slow.
-        if result.is_err() && *connection.last_received.borrow() <= sent_at {
+        let has_received = connection.last_received.borrow().is_some_and(|it| sent_at < it);
+        if result.is_err() && !has_received {
             self.remove_connection(to, connection.id);
         }
         result
     }
+
+    fn has_replied(&self, to: SocketAddr, time: Duration) -> bool {
+        let connections = self.lock();
+        let open = connections.open.get(&(to, true)).filter(|it| !it.frames.is_closed());
+        open.and_then(|it| *it.last_received.borrow()).is_some_and(|last| last.elapsed() < time)
+    }
 }
 
 /// Writes queued requests and delivers replies until either side closes the connection.
@@ -126,7 +133,7 @@
     socket: TcpStream,
     mut frames: mpsc::Receiver<Bytes>,
     pending: PendingReplies,
-    received: watch::Sender<Instant>,
+    received: watch::Sender<Option<Instant>>,
 ) {
     let (mut sink, mut stream) = Framed::new(socket, frame_codec()).split();
     loop {
@@ -141,7 +148,7 @@
             }
             reply = stream.next() => match reply {
                 Some(Ok(frame)) => {
-                    received.send_replace(Instant::now());
+                    received.send_replace(Some(Instant::now()));
                     deliver_reply(&frame, &pending);
                 }
                 _ => break,
--- a/crates/rosethread_entry/src/shards/claim.rs
+++ b/crates/rosethread_entry/src/shards/claim.rs
@@ -12,11 +12,12 @@
 use rosethread_platform::{FencingToken, SharedLogError};
 use rosethread_types::{Incarnation, NodeName};
 use slog::{info, warn};
+use tokio::time::timeout;
 
 use crate::{
     entry::Entry,
     ledger::{Ledger, LedgerRecord},
-    peers::{PeerReply, PeerRequest},
+    peers::{PeerError, PeerReply, PeerRequest},
     shards::{
         ClaimGuard, NotOwned, Shard, YieldedAccounts, encode_record, partition, writer::Writer,
         yield_shard,
@@ -34,6 +35,10 @@
 /// clocks of hosts differ.
 const EPOCH_RETRY_STEP: u64 = 10_000 * EPOCHS_PER_MS;
 
+/// How long a claimant waits for the accounts of an owner that it holds for dead. One that runs all the
+/// same, and whose heartbeats are lost, replies at once.
+const DEAD_REPLY_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// The maximum number of epochs that a claim tries.
 const MAX_EPOCH_ATTEMPTS: u32 = 5;
 
@@ -137,7 +142,11 @@
     Err(SharedLogError::Fenced)
 }
 
-/// Asks the owner that the log names, if it still runs, for its accounts.
+/// Asks the owner that the log names for its accounts, unless another run of its process is known.
+///
+/// An owner that the view holds for dead is asked too, for a short time: that heartbeats are missing
+/// doesn't show that it has ended, and two hosts that hold each other for dead would take each other's
+/// shards in turn.
 ///
 /// Returns an error if that owner keeps the shard because it can serve it. The log names the node
 /// that claimed last, which may not own the shard: its claim may not be complete, or may have been
@@ -150,15 +159,20 @@
     run: Incarnation,
     epoch: u64,
 ) -> Result<Vec<LedgerRecord>, NotOwned> {
-    let is_running = |it: &&NodeState| {
-        it.status <= Status::Suspect && it.incarnation == run && it.node != entry.settings.node
-    };
-    let contact = entry.view().get(owner).filter(is_running).map(|it| it.contact.peer);
-    let Some(contact) = contact else {
+    let is_same_run = |it: &&NodeState| it.incarnation == run && it.node != entry.settings.node;
+    let is_running = |it: &&NodeState| it.status <= Status::Suspect && is_same_run(it);
+    let view = entry.view();
+    let Some(state) = view.last_state(owner).filter(is_same_run) else {
         return Ok(Vec::new());
     };
+    let request = entry.peers.request(state.contact.peer, PeerRequest::Yield { shard: index });
+    let reply = if view.is_running(owner) {
+        request.await
+    } else {
+        timeout(DEAD_REPLY_TIMEOUT, request).await.unwrap_or(Err(PeerError::TimedOut))
+    };
     let not_owned = |detail: String| NotOwned { owner: Some(owner.clone()), detail };
-    match entry.peers.request(contact, PeerRequest::Yield { shard: index }).await {
+    match reply {
         // Accounts from any other claim than the last one miss what was granted after it.
         Ok(PeerReply::Yielded(Some(yielded))) if yielded.epoch == epoch => Ok(yielded.records),
         Ok(PeerReply::Yielded(yielded)) => {
--- a/crates/rosethread_membership/src/detector.rs
+++ b/crates/rosethread_membership/src/detector.rs
@@ -10,7 +10,7 @@
 //! reports of changed statuses are sent before load updates, and a node that receives a report of a
 //! suspect or dead node which is older than its own report of that node as alive probes it next.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use rosethread_types::{Incarnation, NodeName, ZoneName};
 
@@ -37,6 +37,12 @@
 /// How long a dead node is remembered, in periods, so that the report of its death spreads.
 const DEAD_RETENTION_PERIODS: u32 = 150;
 
+/// The most nodes that are remembered after that; beyond them the oldest runs are forgotten.
+const MAX_DEPARTED: usize = 256;
+
+/// How long a node that has answered in another way than to a ping is not suspected, in periods.
+const CONFIRMATION_PERIODS: u32 = 2;
+
 /// The multiplier of Fibonacci hashing: an odd number near 2^64 divided by the golden ratio, which
 /// spreads consecutive numbers over all bits.
 const TIE_BREAK_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -77,6 +83,8 @@
     status_since: Duration,
     /// How many times the current report has been sent.
     transmissions: u32,
+    /// When the node last answered in another way than to a ping.
+    confirmed: Option<Duration>,
 }
 
 struct PendingProbe {
@@ -87,11 +95,17 @@
 
 impl Peer {
     fn new(state: NodeState, now: Duration, transmissions: u32) -> Peer {
-        let mut peer = Peer { state, reported: None, status_since: now, transmissions };
+        let mut peer =
+            Peer { state, reported: None, status_since: now, transmissions, confirmed: None };
         peer.add_reported(None, now);
         peer
     }
 
+    /// Returns whether the node has answered a short time ago, whatever others report.
+    fn is_confirmed(&self, now: Duration, period: Duration) -> bool {
+        self.confirmed.is_some_and(|it| now < it + period * CONFIRMATION_PERIODS)
+    }
+
     /// Replaces the report by a newer one.
     fn update(&mut self, state: NodeState, now: Duration) {
         if self.state.status != state.status {
@@ -157,6 +171,7 @@
     /// The time of the last tick.
     last_tick: Duration,
     peers: BTreeMap<NodeName, Peer>,
+    departed: Arc<BTreeMap<NodeName, NodeState>>,
     /// The nodes still to be probed in this round, in random order; taken from the end.
     probe_round: Vec<NodeName>,
     /// Nodes that others report as suspect or dead while this node has a newer report of them as
@@ -189,6 +204,7 @@
             cutter: SummaryCutter::default(),
             last_tick: Duration::ZERO,
             peers: BTreeMap::new(),
+            departed: Arc::default(),
             probe_round: Vec::new(),
             contested: Vec::new(),
             pending_probe: None,
@@ -278,7 +294,8 @@
         let mut nodes: BTreeMap<NodeName, NodeState> =
             self.peers.iter().map(|(name, it)| (name.clone(), it.known_state())).collect();
         nodes.insert(self.own_state.node.clone(), self.own_state.clone());
-        ClusterView { nodes, notices: self.notices.list() }
+        let (notices, departed) = (self.notices.list(), self.departed.clone());
+        ClusterView { nodes, notices, departed }
     }
 
     /// Returns whether all nodes of another zone, at least two, are suspect or dead.
@@ -292,6 +309,56 @@
             && peers.all(|it| Status::Suspect <= it.state.status)
     }
 
+    /// Returns the nodes that have yet to answer a ping, or are held for suspect or dead, with the
+    /// addresses for requests between nodes.
+    pub fn doubted(&self) -> Vec<(NodeName, SocketAddr)> {
+        let pending = self.pending_probe.as_ref().map(|it| &it.subject);
+        let peers = self.peers.values().map(|it| &it.state);
+        let doubted = peers.filter(|it| Status::Suspect <= it.status || pending == Some(&it.node));
+        let all = doubted.chain(self.departed.values());
+        all.map(|it| (it.node.clone(), it.contact.peer)).collect()
+    }
+
+    /// Records that `node` has answered a request over another connection than that of the datagrams.
+    ///
+    /// It ends a suspicion, so that lost heartbeats alone don't make nodes take each other for dead. Others
+    /// may still report the death, which is ignored for a short time.
+    pub fn confirm(&mut self, now: Duration, node: &NodeName) {
+        if let Some(state) = self.take_departed(node) {
+            self.peers.entry(node.clone()).or_insert_with(|| Peer::new(state, now, 0));
+        }
+        self.pending_probe.take_if(|it| it.subject == *node);
+        let Some(peer) = self.peers.get_mut(node) else {
+            return;
+        };
+        peer.confirmed = Some(now);
+        if Status::Suspect <= peer.state.status {
+            peer.state.status = Status::Alive;
+            peer.status_since = now;
+        }
+    }
+
+    /// Removes `node` from those that were dead for long. The map is copied only if it holds the node.
+    fn take_departed(&mut self, node: &NodeName) -> Option<NodeState> {
+        let is_departed = self.departed.contains_key(node);
+        is_departed.then(|| Arc::make_mut(&mut self.departed).remove(node))?
+    }
+
+    /// Remembers the last reports of nodes that are no longer probed.
+    fn add_departed(&mut self, states: Vec<NodeState>) {
+        if states.is_empty() {
+            return;
+        }
+        let departed = Arc::make_mut(&mut self.departed);
+        departed.extend(states.into_iter().map(|it| (it.node.clone(), it)));
+        while MAX_DEPARTED < departed.len()
+            && let Some(oldest) = departed.values().min_by_key(|it| it.incarnation)
+        {
+            let oldest = oldest.node.clone();
+            departed.remove(&oldest);
+        }
+    }
+
     /// Evaluates the pending probe and starts the next one.
     ///
     /// Call it once a period.
@@ -442,7 +509,11 @@
 
     fn prune(&mut self, now: Duration) {
         let ttl = self.config.period * DEAD_RETENTION_PERIODS;
-        self.peers.retain(|_, it| it.state.status != Status::Dead || now < it.status_since + ttl);
+        let is_old = |it: &Peer| it.state.status == Status::Dead && it.status_since + ttl <= now;
+        let old: Vec<NodeState> =
+            self.peers.values().filter(|it| is_old(it)).map(|it| it.state.clone()).collect();
+        self.peers.retain(|_, it| !is_old(it));
+        self.add_departed(old);
         self.peers.values_mut().filter_map(|it| it.reported.as_mut()).for_each(|it| it.expire(now));
         let relay_timeout = self.config.period;
         self.relayed.retain(|_, it| now < it.sent + relay_timeout);
@@ -509,7 +580,13 @@
             return;
         }
         match self.peers.get_mut(&state.node) {
-            Some(peer) if state.supersedes(&peer.state) => peer.update(state, now),
+            Some(peer) if state.supersedes(&peer.state) => {
+                let is_same_run = state.incarnation == peer.state.incarnation;
+                let is_refuted = is_same_run && peer.is_confirmed(now, self.config.period);
+                if !(is_refuted && Status::Suspect <= state.status) {
+                    peer.update(state, now);
+                }
+            }
             Some(peer) => {
                 let is_same_run = state.incarnation == peer.state.incarnation;
                 let is_contested =
@@ -520,6 +597,7 @@
             }
             None if state.status == Status::Dead => (),
             None => {
+                self.take_departed(&state.node);
                 self.peers.insert(state.node.clone(), Peer::new(state, now, 0));
             }
         }
--- a/crates/rosethread_membership/src/state.rs
+++ b/crates/rosethread_membership/src/state.rs
@@ -1,6 +1,6 @@
 //! The state of nodes as reported by gossip.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use rosethread_types::{Incarnation, NodeName, Revision, TargetName, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -120,6 +120,8 @@
     pub nodes: BTreeMap<NodeName, NodeState>,
     /// The facts that any of them has told all others, in order.
     pub notices: Vec<Notice>,
+    /// The last reports of nodes that were dead for so long that they are no longer probed.
+    pub departed: Arc<BTreeMap<NodeName, NodeState>>,
 }
 
 impl ClusterView {
@@ -128,6 +130,11 @@
         self.nodes.get(node)
     }
 
+    /// Returns the last state of `node`, also if it has been dead for long.
+    pub fn last_state(&self, node: &NodeName) -> Option<&NodeState> {
+        self.get(node).or_else(|| self.departed.get(node))
+    }
+
     /// Returns whether `node` is known and not dead.
     pub fn is_running(&self, node: &NodeName) -> bool {
         self.get(node).is_some_and(|it| it.status < Status::Dead)
--- a/crates/rosethread_membership/tests/detector.rs
+++ b/crates/rosethread_membership/tests/detector.rs
@@ -215,6 +215,64 @@
     assert!(network.views().all(|it| it.live().count() == 9));
 }
 
+impl Network {
+    /// Runs for `periods` in which all messages are lost, while node 0 gets answers of node 1 in another way.
+    fn run_silent(&mut self, periods: u32, has_answers: bool) {
+        self.loss = 1.0;
+        for _ in 0..periods {
+            if has_answers {
+                self.detectors.get_mut(&0).unwrap().confirm(self.now, &name(1));
+            }
+            self.run(CONFIG.period);
+        }
+    }
+
+    /// Returns the status of node 1 as node 0 has it.
+    fn status_at_first(&self) -> Option<Status> {
+        self.detectors[&0].view().get(&name(1)).map(|it| it.status)
+    }
+}
+
+// Guards against hosts that take each other for dead though they answer each other's requests.
+#[test]
+fn a_node_that_answers_requests_stays_alive_without_heartbeats() {
+    let mut network = Network::new(4, 0.0);
+    network.run(Duration::from_secs(4));
+    network.run_silent(50, true);
+    assert_eq!(network.status_at_first(), Some(Status::Alive));
+    assert!(network.detectors[&0].doubted().iter().any(|(node, _)| *node == name(2)));
+    network.run_silent(13, false);
+    assert_eq!(network.status_at_first(), Some(Status::Dead));
+}
+
+// Others that have no answers report the death again and again.
+#[test]
+fn a_reported_death_does_not_outweigh_answers() {
+    let mut network = Network::new(4, 0.0);
+    network.run(Duration::from_secs(4));
+    network.detectors.remove(&1);
+    for _ in 0..50 {
+        network.detectors.get_mut(&0).unwrap().confirm(network.now, &name(1));
+        network.run(CONFIG.period);
+        assert_eq!(network.status_at_first(), Some(Status::Alive));
+    }
+    network.run(Duration::from_secs(5));
+    check_not_alive(&network, 1);
+}
+
+#[test]
+fn a_node_that_was_dead_for_long_is_remembered() {
+    let mut network = Network::new(4, 0.0);
+    network.run(Duration::from_secs(4));
+    network.run_silent(200, false);
+    let view = network.detectors[&0].view();
+    assert_eq!(view.get(&name(1)), None);
+    assert_eq!(view.last_state(&name(1)).map(|it| it.contact.clone()), Some(contact(1)));
+    network.run_silent(1, true);
+    assert_eq!(network.status_at_first(), Some(Status::Alive));
+    assert!(!network.detectors[&0].view().departed.contains_key(&name(1)));
+}
+
 /// At 5% loss there may be at most one false suspicion per node and day, which is measured over two
 /// simulated hours of 13 nodes.
 #[test]
@@ -243,7 +301,7 @@
             };
             (name(index), state)
         });
-        ClusterView { nodes: nodes.collect(), notices: Vec::new() }
+        ClusterView { nodes: nodes.collect(), ..ClusterView::default() }
     };
     let (before, after) = (view(None), view(Some(4)));
     let zone = "zone-1".parse().unwrap();
--- a/crates/rosethread_node/src/control.rs
+++ b/crates/rosethread_node/src/control.rs
@@ -11,7 +11,7 @@
 
 use rosethread_config::KeySettings;
 use rosethread_membership::{AuthKeys, DetectorConfig};
-use rosethread_runtime::{DroppedDatagrams, MembershipParts, start_membership};
+use rosethread_runtime::{DroppedDatagrams, MembershipParts, NoLifeSigns, start_membership};
 
 use crate::core::Core;
 
@@ -47,6 +47,7 @@
         tasks: core.tasks.clone(),
         timer: core.timer.clone(),
         datagrams: core.datagrams.clone(),
+        life_signs: Arc::new(NoLifeSigns),
         view: core.view.clone(),
         suspicions: core.suspicions.clone(),
         dropped: DroppedDatagrams::default(),
--- a/crates/rosethread_runtime/src/lib.rs
+++ b/crates/rosethread_runtime/src/lib.rs
@@ -12,8 +12,8 @@
 mod transport;
 
 pub use membership::{
-    Announce, DroppedDatagrams, Leave, MembershipActor, MembershipParts, NodeList, PingAddresses,
-    SetSummary, start_membership,
+    Announce, DroppedDatagrams, Leave, LifeSigns, MembershipActor, MembershipParts, NoLifeSigns,
+    NodeList, PingAddresses, SetSummary, start_membership,
 };
 pub use random::RandomSource;
 pub use tasks::TaskSpawner;
--- a/crates/rosethread_runtime/src/membership.rs
+++ b/crates/rosethread_runtime/src/membership.rs
@@ -39,6 +39,22 @@
     pub rejected: Arc<AtomicU64>,
 }
 
+/// Tells of nodes that answer in another way than to heartbeats.
+pub trait LifeSigns: Send + Sync {
+    /// Returns whether the node with this address for requests between nodes has answered one within
+    /// `time`.
+    fn has_answered(&self, peer: SocketAddr, time: Duration) -> bool;
+}
+
+/// No evidence beside the heartbeats.
+pub struct NoLifeSigns;
+
+impl LifeSigns for NoLifeSigns {
+    fn has_answered(&self, _peer: SocketAddr, _time: Duration) -> bool {
+        false
+    }
+}
+
 /// The settings and dependencies of the membership actor.
 #[derive(Clone)]
 pub struct MembershipParts {
@@ -60,6 +76,8 @@
     pub timer: Timer,
     /// The transport that carries datagrams to other nodes.
     pub datagrams: Arc<dyn DatagramTransport>,
+    /// Evidence of life beside the heartbeats.
+    pub life_signs: Arc<dyn LifeSigns>,
     /// The channel on which changes of the view are published.
     pub view: watch::Sender<Arc<ClusterView>>,
     /// The number of suspicions that this node has raised since its start.
@@ -208,6 +226,18 @@
         self.start.elapsed()
     }
 
+    /// Confirms the doubted nodes that have answered requests.
+    fn confirm_answering(&mut self, now: Duration) {
+        let period = self.parts.config.period;
+        for (node, peer) in self.detector.doubted() {
+            if self.parts.life_signs.has_answered(peer, period) {
+                debug!(self.parts.logger, "members: a node answers requests, but no ping";
+                    "node" => %node);
+                self.detector.confirm(now, &node);
+            }
+        }
+    }
+
     /// Publishes the view if it has changed, and logs each change of a node's status.
     fn publish(&self) {
         let view = self.detector.view();
@@ -259,6 +289,7 @@
 
     async fn handle(&mut self, _message: PeriodStarted, _ctx: &mut Context<MembershipActor, ()>) {
         let now = self.now();
+        self.confirm_answering(now);
         let probes = self.detector.tick(now);
         self.send(probes);
         self.publish();
