--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     Arc, Mutex, MutexGuard,
-    atomic::{AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use bytes::{Bytes, BytesMut};
@@ -153,6 +153,14 @@
         }
     }
 
+    /// Reports the tokens that the turn has used, before its end if all of them are known: the owner then
+    /// records them while the turn is stored.
+    pub(crate) fn settle_grant(&self) {
+        if let Some(grant) = &self.grant {
+            grant.report();
+        }
+    }
+
     /// Records whether a target may have run the call, which counts against its organisation's limit.
     pub(crate) fn set_spent(&self, is_spent: bool) {
         if let Some(token) = &self.token {
@@ -328,6 +336,7 @@
         budget,
         tokens: prompt.max_output,
         grant: GrantId(entry.random.next_u64()),
+        is_stored: route.history.is_some(),
     };
     // Created before the request, so that dropping it returns the tokens if the caller leaves while
     // the owner decides.
@@ -376,6 +385,7 @@
     asked_hosts: AskedHosts,
     used: AtomicU64,
     visited: Mutex<VisitedTargets>,
+    is_reported: AtomicBool,
 }
 
 impl Grant {
@@ -394,20 +404,15 @@
             asked_hosts: AskedHosts::default(),
             used: AtomicU64::new(0),
             visited: Mutex::default(),
+            is_reported: AtomicBool::new(false),
         }
     }
 
-    fn visited(&self) -> MutexGuard<'_, VisitedTargets> {
-        self.visited.lock().expect("no holder of the visited targets lock panics")
-    }
-
-    fn used(&self) -> Tokens {
-        self.used.load(Ordering::Relaxed)
-    }
-}
-
-impl Drop for Grant {
-    fn drop(&mut self) {
+    /// Reports the used tokens to the owner, once.
+    fn report(&self) {
+        if self.is_reported.swap(true, Ordering::Relaxed) {
+            return;
+        }
         let VisitedTargets { ran, failed } = self.visited().clone();
         let settlement = Settlement {
             program: self.request.program.clone(),
@@ -420,4 +425,18 @@
         };
         grants::report_settlement(&self.entry, self.shard, &self.asked_hosts, settlement);
     }
+
+    fn visited(&self) -> MutexGuard<'_, VisitedTargets> {
+        self.visited.lock().expect("no holder of the visited targets lock panics")
+    }
+
+    fn used(&self) -> Tokens {
+        self.used.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        self.report();
+    }
 }
--- a/crates/rosethread_entry/src/control.rs
+++ b/crates/rosethread_entry/src/control.rs
@@ -18,7 +18,7 @@
 
 use crate::{entry::Entry, history, peers::AnsweringPeers, quota, shards};
 
-pub(crate) use periodic::program_retention;
+pub(crate) use periodic::{longest_turn, program_retention};
 pub(crate) use targets::{exclude_leaving, targets_reply};
 
 /// The period of the failure detector's probes.
--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -18,6 +18,9 @@
 /// The period at which unused state is expired.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(2);
 
+/// The time for which a granted turn may be under way at least.
+const MIN_TURN_TIME: Duration = Duration::from_secs(10);
+
 /// The minimum time for which unused turns and program accounts stay in memory.
 const MIN_RETENTION: Duration = Duration::from_secs(120);
 
@@ -93,9 +96,14 @@
         entry.paths.forget_unknown(&entry.targets());
         let mut programs = 0;
         let shards = entry.shards.all();
-        for (_, shard) in &shards {
+        for (index, shard) in &shards {
             let mut ledger = shard.ledger();
             ledger.expire(now, retention);
+            let lost = ledger.expire_grants(now, longest_turn(&entry));
+            if lost != 0 {
+                info!(entry.logger, "grants: turns that nobody has settled count as spent";
+                    "shard" => index, "turns" => lost);
+            }
             programs += ledger.len();
         }
         entry.metrics.programs.set(programs as i64);
@@ -103,6 +111,12 @@
     }
 }
 
+/// Returns the time after which a granted turn has ended, and its end has been reported: twice the
+/// longest timeout of any route, as that may have been longer a short time ago.
+pub(crate) fn longest_turn(entry: &Entry) -> Duration {
+    MIN_TURN_TIME.max(2 * entry.routes().longest_timeout())
+}
+
 /// Returns how long unused state of programs stays in memory: twice the longest history time of any
 /// route, and at least [`MIN_RETENTION`].
 pub(crate) fn program_retention(entry: &Entry) -> Duration {
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -7,13 +7,13 @@
 };
 
 use futures::future::join_all;
-use rosethread_types::{NodeName, Reason, Refusal};
+use rosethread_types::{NodeName, ProgramLabel, Reason, Refusal, Tokens};
 use slog::{debug, info, warn};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
     entry::{Entry, Phase},
-    ledger::{GrantRequest, Settlement, Verdict},
+    ledger::{GrantRequest, Ledger, Settlement, Verdict},
     peers::{PeerError, PeerReply, PeerRequest},
     shards::{self, NotOwned, Shard, candidates_for, next_owner, responsible_for},
 };
@@ -187,14 +187,16 @@
         match verdict {
             Verdict::Record(tokens) => raise_ceiling(&shard, ask, tokens).await.map_err(unable)?,
             Verdict::Granted { .. } => {
-                raise_ceiling_ahead(entry, &shard, ask);
+                record_ceiling(entry, &shard, &ask.program, |it| {
+                    it.plan_ceiling(&ask.program, ask.tokens)
+                });
                 return Ok(verdict);
             }
             Verdict::Closed => return Err(unable("the shard was handed over".to_owned())),
             Verdict::Spent | Verdict::Uncertain => {
                 if let Some(record) = shard.ledger().spent_record(&ask.program) {
                     // Not awaited: without the record a new owner only answers `Uncertain`.
-                    drop(shard.record(record));
+                    drop(shard.record_all(&[record]));
                 }
                 log_verdict(entry, index, &shard, ask, &verdict);
                 return Ok(verdict);
@@ -215,11 +217,10 @@
 
 /// Records a higher ceiling, and waits until it is in the log.
 async fn raise_ceiling(shard: &Shard, ask: &GrantRequest, tokens: u64) -> Result<(), String> {
-    let records = shard.ledger().ceiling_records(&ask.program, tokens);
-    let receiver = shard.record_all(records);
+    let (queued, receiver) = shard.queue(|it| it.raise_ceiling(&ask.program, tokens));
     match timeout(RECORD_TIMEOUT, receiver).await {
         Ok(Ok(true)) => {
-            shard.ledger().confirm_ceiling(&ask.program, tokens);
+            shard.ledger().confirm_ceiling(&queued);
             Ok(())
         }
         Ok(Ok(false)) => Err("the shard has another owner".to_owned()),
@@ -228,21 +229,22 @@
     }
 }
 
-/// Records in the background the ceiling that the program's next turn will need.
-fn raise_ceiling_ahead(entry: &Arc<Entry>, shard: &Arc<Shard>, ask: &GrantRequest) {
-    let (tokens, records) = {
-        let mut ledger = shard.ledger();
-        let Some(tokens) = ledger.plan_ceiling(&ask.program, ask.tokens) else {
-            return;
-        };
-        (tokens, ledger.ceiling_records(&ask.program, tokens))
+/// Records in the background the ceiling that `plan` returns, if it returns one.
+fn record_ceiling(
+    entry: &Entry,
+    shard: &Arc<Shard>,
+    program: &ProgramLabel,
+    plan: impl FnOnce(&Ledger) -> Option<Tokens>,
+) {
+    let planned = |ledger: &mut Ledger| Some(ledger.queue_ceiling(program, plan(ledger)?));
+    let Some((queued, receiver)) = shard.queue_some(planned) else {
+        return;
     };
-    let receiver = shard.record_all(records);
-    let (shard, program) = (shard.clone(), ask.program.clone());
+    let shard = shard.clone();
     entry.tasks.spawn(async move {
         match receiver.await {
-            Ok(true) => shard.ledger().confirm_ceiling(&program, tokens),
-            Ok(false) | Err(_) => shard.ledger().cancel_ceiling(&program),
+            Ok(true) => shard.ledger().confirm_ceiling(&queued),
+            Ok(false) | Err(_) => shard.ledger().cancel_ceiling(&queued),
         }
     });
 }
@@ -259,11 +261,15 @@
         // A settlement that is sent again, since its reply was lost, counts once.
         let shard = entry.shards.get(index).filter(|_| is_new);
         let was_open = shard.as_ref().is_some_and(|it| it.ledger().settle(settlement, now));
-        match shard {
+        match &shard {
             Some(shard) => shard.settled.notify_waiters(),
             None if is_new => ended.keep_early(settlement.clone(), now),
             None => (),
         }
+        if let Some(shard) = shard.filter(|it| was_open && it.has_writer()) {
+            let program = &settlement.program;
+            record_ceiling(entry, &shard, program, |it| it.plan_settled_ceiling(program));
+        }
         (is_new, was_open)
     };
     if !was_open && Phase::Serving < entry.phase() {
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -11,6 +11,11 @@
 //! Neither a clock nor a reply from the log decides how much a program may spend. See
 //! `docs/design/budgets.md`.
 //!
+//! A turn that is stored can't end while the log is unavailable, so a ceiling that lasts through an
+//! outage is of no use to its program. The ceiling of such a program is at most one turn above what
+//! it has spent and reserved, and is lowered again as its turns end: a new owner then knows of all
+//! but the one turn by which the budget may be exceeded, and the program has its whole budget.
+//!
 //! The ledger also suggests a *home* for each session: the target that ran its last turn, and so
 //! most likely has its prompt in the cache.
 
@@ -49,6 +54,18 @@
     tokens: Tokens,
     /// The latest grant requested for the call; only its settlement returns the tokens.
     grant: GrantId,
+    /// When this owner granted it, or got it from an earlier one.
+    #[serde(skip)]
+    since: Duration,
+}
+
+/// A ceiling whose records are to be appended to the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueuedCeiling {
+    program: ProgramLabel,
+    tokens: Tokens,
+    /// Its number among the ceilings that were queued for the program.
+    number: u64,
 }
 
 /// The account of one program.
@@ -69,6 +86,17 @@
     /// A higher ceiling whose record is queued, but not yet in the log.
     #[serde(rename = "coming")]
     pending_ceiling: Option<Tokens>,
+    /// The number of ceilings that were queued, and that of the last one which was lower than those before.
+    #[serde(skip)]
+    queued: u64,
+    #[serde(skip)]
+    lowered: u64,
+    /// Whether the turns are stored before they end, as the last request says.
+    #[serde(skip)]
+    is_stored: bool,
+    /// The most tokens that a turn has requested here.
+    #[serde(skip)]
+    turn_tokens: Tokens,
     /// Whether the spent budget has been submitted to the log.
     is_spent_recorded: bool,
     /// The target that ran the last turn of each session.
@@ -113,6 +141,29 @@
         let excess = if self.has_unrecorded { 0 } else { self.uncertain.min(turn_tokens) };
         self.budget + excess
     }
+
+    /// Returns the ceiling for stored turns that have committed `committed` tokens: a new owner may count
+    /// as uncertain, in total, what a turn may exceed the budget by.
+    fn stored_ceiling(&self, committed: Tokens) -> Tokens {
+        let hidden = if self.has_unrecorded { 0 } else { self.turn_tokens };
+        let ahead = hidden.saturating_sub(self.uncertain);
+        (committed + ahead).min(self.budget.max(committed))
+    }
+
+    /// Returns the ceiling as the log will have it.
+    fn planned_ceiling(&self) -> Tokens {
+        self.pending_ceiling.unwrap_or(0).max(self.ceiling)
+    }
+
+    /// Counts a ceiling as queued; one that is lower than the last one holds from now on.
+    fn queue_ceiling(&mut self, tokens: Tokens) {
+        self.queued += 1;
+        if tokens < self.planned_ceiling() {
+            self.lowered = self.queued;
+            self.ceiling = self.ceiling.min(tokens);
+        }
+        self.pending_ceiling = Some(tokens).filter(|it| self.ceiling < *it);
+    }
 }
 
 /// The balance of a program's account, for logs.
@@ -158,6 +209,10 @@
     #[serde(skip)]
     failures: BTreeMap<TargetName, (u32, Duration)>,
     accounts: BTreeMap<ProgramLabel, Account>,
+    /// When no turn that an earlier owner granted can be under way any more; unknown in a ledger that
+    /// was transferred.
+    #[serde(skip)]
+    settled_by: Option<Duration>,
 }
 
 impl Ledger {
@@ -196,7 +251,7 @@
             LedgerRecord::Open { program, request, grant, tokens } => {
                 let account = self.accounts.entry(program.clone()).or_default();
                 account.uncertain = account.uncertain.saturating_sub(*tokens);
-                let open = OpenGrant { tokens: *tokens, grant: *grant };
+                let open = OpenGrant { tokens: *tokens, grant: *grant, since: Duration::ZERO };
                 account.open.insert(request.clone(), open);
             }
         }
@@ -218,9 +273,33 @@
     pub fn reset_last_used(&mut self, now: Duration) {
         for account in self.accounts.values_mut() {
             account.last_used = now;
+            account.open.values_mut().for_each(|it| it.since = now);
         }
     }
 
+    /// Sets when all turns have ended that earlier owners may have granted. From then on the tokens that
+    /// they may have used count as spent: nothing could still return them.
+    pub fn set_settled_by(&mut self, settled_by: Duration) {
+        self.settled_by = Some(settled_by);
+    }
+
+    /// Counts the turns in progress as spent that were granted longer ago than a turn takes: the host that
+    /// carried them is lost, and nobody settles them.
+    ///
+    /// Returns their number.
+    pub fn expire_grants(&mut self, now: Duration, longest_turn: Duration) -> usize {
+        let mut count = 0;
+        for account in self.accounts.values_mut() {
+            let is_lost = |it: &OpenGrant| it.since + longest_turn <= now;
+            let lost = account.open.values().filter(|it| is_lost(it));
+            account.spent += lost.map(|it| it.tokens).sum::<Tokens>();
+            let before = account.open.len();
+            account.open.retain(|_, it| !is_lost(it));
+            count += before - account.open.len();
+        }
+        count
+    }
+
     /// Returns the balance of a program's account; all zero for a program without one.
     pub fn balance(&self, program: &ProgramLabel) -> Balance {
         let balance = |it: &Account| Balance {
@@ -272,6 +351,8 @@
         }
         let account = self.accounts.get_mut(&ask.program).expect("the account was created above");
         account.last_used = now;
+        account.is_stored = ask.is_stored;
+        account.turn_tokens = account.turn_tokens.max(ask.tokens);
         let is_healthy = |it: &&TargetName| {
             let failures = self.failures.get(*it);
             failures.is_none_or(|(count, last)| *count < MAX_FAILURES || *last + FAILURE_TTL <= now)
@@ -285,14 +366,23 @@
         }
         let needed = account.committed() + ask.tokens;
         if account.limit(ask.tokens) < needed {
-            // Turns in progress may use less than is reserved, so only settled tokens are certain.
-            let is_certain = account.budget < account.spent + ask.tokens;
+            // Turns in progress may use less than is reserved, so only settled tokens are certain, and those
+            // of earlier owners once their turns have ended.
+            let is_settled = self.settled_by.is_some_and(|it| it <= now);
+            let is_certain = account.budget < account.spent + ask.tokens
+                || is_settled
+                    && account.limit(ask.tokens) < account.spent + account.uncertain + ask.tokens;
             return if is_certain { Verdict::Spent } else { Verdict::Uncertain };
         }
         if account.ceiling < needed {
-            return Verdict::Record(needed.max(first_ceiling(account.budget)));
+            let ceiling = if ask.is_stored {
+                account.stored_ceiling(needed)
+            } else {
+                needed.max(first_ceiling(account.budget))
+            };
+            return Verdict::Record(ceiling);
         }
-        let open = OpenGrant { tokens: ask.tokens, grant: ask.grant };
+        let open = OpenGrant { tokens: ask.tokens, grant: ask.grant, since: now };
         account.open.insert(ask.request.clone(), open);
         Verdict::Granted { home, underway }
     }
@@ -301,17 +391,23 @@
     /// first one covers a fixed part of the budget.
     ///
     /// Returns nothing if a recorded or pending ceiling covers another turn of `turn_tokens`, or if
-    /// the budget does not.
-    pub fn plan_ceiling(&mut self, program: &ProgramLabel, turn_tokens: Tokens) -> Option<Tokens> {
-        let account = self.accounts.get_mut(program)?;
+    /// the budget does not, or if the turns are stored.
+    pub fn plan_ceiling(&self, program: &ProgramLabel, turn_tokens: Tokens) -> Option<Tokens> {
+        let account = self.accounts.get(program)?;
         let next = account.committed() + turn_tokens;
-        let planned = account.pending_ceiling.unwrap_or(0).max(account.ceiling);
-        if next <= planned || account.limit(turn_tokens) < next {
+        let planned = account.planned_ceiling();
+        if account.is_stored || next <= planned || account.limit(turn_tokens) < next {
             return None;
         }
-        let ceiling = next.max(first_ceiling(account.budget));
-        account.pending_ceiling = Some(ceiling);
-        Some(ceiling)
+        Some(next.max(first_ceiling(account.budget)))
+    }
+
+    /// Returns the ceiling to record after a turn of the program has ended, if its turns are stored: it
+    /// covers the next turn, and takes back what turns did not use.
+    pub fn plan_settled_ceiling(&self, program: &ProgramLabel) -> Option<Tokens> {
+        let account = self.accounts.get(program).filter(|it| it.is_stored)?;
+        let tokens = account.stored_ceiling(account.committed());
+        (tokens != account.planned_ceiling()).then_some(tokens)
     }
 
     /// Returns a record of the spent tokens, once, for a program whose budget is spent.
@@ -328,14 +424,42 @@
         Some(LedgerRecord::Ceiling { program: program.clone(), budget, spent, tokens: spent })
     }
 
-    /// Returns the records of a ceiling of `tokens` for a program, to be appended in this order.
-    pub fn ceiling_records(&mut self, program: &ProgramLabel, tokens: Tokens) -> Vec<LedgerRecord> {
+    /// Queues a ceiling of at least `tokens` for a turn that waits for it, and returns its records.
+    pub fn raise_ceiling(
+        &mut self,
+        program: &ProgramLabel,
+        tokens: Tokens,
+    ) -> (QueuedCeiling, Vec<LedgerRecord>) {
+        let planned = self.accounts.get(program).map_or(0, Account::planned_ceiling);
+        self.queue_ceiling(program, tokens.max(planned))
+    }
+
+    /// Queues a ceiling of `tokens` for a program, and returns its records.
+    ///
+    /// The records have to be appended together, in this order, and after those that were queued before.
+    /// A higher ceiling holds once it is confirmed, a lower one at once.
+    pub fn queue_ceiling(
+        &mut self,
+        program: &ProgramLabel,
+        tokens: Tokens,
+    ) -> (QueuedCeiling, Vec<LedgerRecord>) {
+        let mut queued = QueuedCeiling { program: program.clone(), tokens, number: 0 };
+        let mut settled = None;
         if let Some(account) = self.accounts.get_mut(program) {
-            // A ceiling is recorded for a turn that has just been requested.
+            // A ceiling is recorded for a turn that has just been requested or has just ended.
             account.last_recorded = account.last_used;
+            queued.tokens = tokens.max(account.committed());
+            account.queue_ceiling(queued.tokens);
+            queued.number = account.queued;
+            if account.is_stored {
+                // The record of a ceiling alone doesn't replace a higher one.
+                let (budget, tokens) = (account.budget, account.spent);
+                settled = Some(LedgerRecord::Settled { program: program.clone(), budget, tokens });
+            }
         }
-        let ceiling = self.ceiling_record(program, tokens);
-        self.unrecorded_record(program).into_iter().chain([ceiling]).collect()
+        let ceiling = self.ceiling_record(program, queued.tokens);
+        let records = [self.unrecorded_record(program), settled, Some(ceiling)];
+        (queued, records.into_iter().flatten().collect())
     }
 
     /// Returns the records of the ceilings that were recorded `age` ago or earlier, of programs that were
@@ -376,17 +500,20 @@
         LedgerRecord::Ceiling { program: program.clone(), budget, spent, tokens }
     }
 
-    /// Raises a program's ceiling after its record has reached the log.
-    pub fn confirm_ceiling(&mut self, program: &ProgramLabel, ceiling: Tokens) {
-        if let Some(account) = self.accounts.get_mut(program) {
-            account.ceiling = account.ceiling.max(ceiling);
+    /// Raises a program's ceiling after its records have reached the log, unless a lower one has been
+    /// queued since.
+    pub fn confirm_ceiling(&mut self, queued: &QueuedCeiling) {
+        let account = self.accounts.get_mut(&queued.program);
+        if let Some(account) = account.filter(|it| it.lowered <= queued.number) {
+            account.ceiling = account.ceiling.max(queued.tokens);
             account.pending_ceiling = account.pending_ceiling.filter(|it| account.ceiling < *it);
         }
     }
 
-    /// Clears a program's pending ceiling, whose record did not reach the log.
-    pub fn cancel_ceiling(&mut self, program: &ProgramLabel) {
-        if let Some(account) = self.accounts.get_mut(program) {
+    /// Clears a program's pending ceiling, whose records did not reach the log.
+    pub fn cancel_ceiling(&mut self, queued: &QueuedCeiling) {
+        let account = self.accounts.get_mut(&queued.program);
+        if let Some(account) = account.filter(|it| it.queued == queued.number) {
             account.pending_ceiling = None;
         }
     }
@@ -453,10 +580,6 @@
         self.is_closed = true;
         for account in copy.accounts.values_mut() {
             account.pending_ceiling = None;
-            if account.has_unrecorded {
-                // The copy does not contain the mark, so nothing may be left by which it may exceed the budget.
-                account.spent += std::mem::take(&mut account.uncertain);
-            }
             // An age, since the other host counts time from its own start.
             account.last_used = now.saturating_sub(account.last_used);
         }
@@ -467,6 +590,7 @@
     pub fn accept_transfer(&mut self, now: Duration) {
         for account in self.accounts.values_mut() {
             account.last_used = now.saturating_sub(account.last_used);
+            account.open.values_mut().for_each(|it| it.since = now);
         }
     }
 
--- a/crates/rosethread_entry/src/ledger/messages.rs
+++ b/crates/rosethread_entry/src/ledger/messages.rs
@@ -24,6 +24,10 @@
     pub tokens: Tokens,
     /// The grant; it stays the same when the request is sent again or to another host.
     pub grant: GrantId,
+    /// Whether the turn is stored before it ends. Between hosts it follows the request, where those of
+    /// the last release don't look.
+    #[serde(skip)]
+    pub is_stored: bool,
 }
 
 /// The owner's decision on a [`GrantRequest`].
@@ -129,3 +133,18 @@
         tokens: Tokens,
     },
 }
+
+impl LedgerRecord {
+    /// Returns the program whose account the record is about, if it is about one.
+    pub(crate) fn program(&self) -> Option<&ProgramLabel> {
+        match self {
+            LedgerRecord::Ceiling { program, .. }
+            | LedgerRecord::Settled { program, .. }
+            | LedgerRecord::Unrecorded { program, .. }
+            | LedgerRecord::Open { program, .. } => Some(program),
+            LedgerRecord::Claim { .. }
+            | LedgerRecord::Released { .. }
+            | LedgerRecord::Bounded { .. } => None,
+        }
+    }
+}
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -58,7 +58,9 @@
 pub use entry::{Entry, EntryDependencies, Phase};
 pub use events::{Event, EventBuffer, EventTooLarge, NoEvent};
 pub use fingerprint::Fingerprint;
-pub use ledger::{Balance, GrantId, GrantRequest, Ledger, LedgerRecord, Settlement, Verdict};
+pub use ledger::{
+    Balance, GrantId, GrantRequest, Ledger, LedgerRecord, QueuedCeiling, Settlement, Verdict,
+};
 pub use life::{Draining, EntryNode, Serving, Stopped};
 pub use memory::{BodyMemory, BodyReservation, MemoryPool, Reservation};
 pub use metrics::Metrics;
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -132,6 +132,25 @@
 }
 
 impl PeerRequest {
+    /// Encodes the request as number `id`. Whether a turn is stored follows it, where nodes of the last
+    /// release don't look.
+    pub fn encode(&self, id: u64) -> Result<Vec<u8>, postcard::Error> {
+        let frame = postcard::to_stdvec(&(id, self))?;
+        match self {
+            PeerRequest::Ask { ask, .. } if ask.is_stored => postcard::to_extend(&true, frame),
+            _ => Ok(frame),
+        }
+    }
+
+    /// Decodes a request, without its number.
+    pub fn decode(bytes: &[u8]) -> Result<PeerRequest, postcard::Error> {
+        let (mut request, rest): (PeerRequest, &[u8]) = postcard::take_from_bytes(bytes)?;
+        if let (PeerRequest::Ask { ask, .. }, false) = (&mut request, rest.is_empty()) {
+            ask.is_stored = postcard::take_from_bytes(rest)?.0;
+        }
+        Ok(request)
+    }
+
     /// Returns whether the request shares the connection with those that all releases know.
     ///
     /// The last release says that it doesn't know a request; those before it close the connection.
--- a/crates/rosethread_entry/src/peers/client.rs
+++ b/crates/rosethread_entry/src/peers/client.rs
@@ -100,8 +100,7 @@
             connections.next_id += 1;
             connections.next_id
         };
-        let frame = postcard::to_stdvec(&(id, request))
-            .map_err(|it| PeerError::Unreachable(it.to_string()))?;
+        let frame = request.encode(id).map_err(|it| PeerError::Unreachable(it.to_string()))?;
         connection.pending.lock().expect("the lock is not poisoned").insert(id, sender);
         let sent_at = Instant::now();
         let result = timeout(REPLY_TIMEOUT, async {
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -63,7 +63,7 @@
             debug!(entry.logger, "peers: could not decode a frame");
             return;
         };
-        let request = match postcard::from_bytes::<PeerRequest>(request) {
+        let request = match PeerRequest::decode(request) {
             Ok(request) => request,
             Err(error) => {
                 // A node of a later release may send requests that this one doesn't know.
--- a/crates/rosethread_entry/src/routes.rs
+++ b/crates/rosethread_entry/src/routes.rs
@@ -207,6 +207,16 @@
         routes.filter_map(|it| it.history).max().unwrap_or_default()
     }
 
+    /// Returns the longest timeout of any route.
+    pub(crate) fn longest_timeout(&self) -> Duration {
+        self.hosts
+            .values()
+            .flat_map(|it| it.values())
+            .map(|it| it.timeout)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Adds a route; a later one with the same host and prefix replaces an earlier one.
     pub fn add(&mut self, route: Route) {
         let prefixes = self.hosts.entry(route.host.clone()).or_default();
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -33,7 +33,7 @@
 use crate::{
     ended_grants::EndedGrants,
     entry::{Entry, Phase},
-    ledger::{Ledger, LedgerRecord},
+    ledger::{Ledger, LedgerRecord, QueuedCeiling},
     peers::{PeerReply, PeerRequest},
 };
 
@@ -96,20 +96,41 @@
         self.epoch
     }
 
-    /// Queues a record; the receiver yields whether it has reached the log, or an error if no
-    /// writer runs.
-    pub(crate) fn record(&self, record: LedgerRecord) -> oneshot::Receiver<bool> {
-        match &self.writer {
-            Some(writer) => writer.submit(record),
-            // The receiver of a dropped sender fails, so the caller knows that nothing is recorded.
-            None => oneshot::channel().1,
-        }
+    /// Returns whether the shard is in the log, rather than transferred without it.
+    pub(crate) fn has_writer(&self) -> bool {
+        self.writer.is_some()
+    }
+
+    /// Queues records, of which consecutive ones of a program are appended together; the receiver yields
+    /// whether the last one has reached the log, and so all of them, or an error if no writer runs.
+    pub(crate) fn record_all(&self, records: &[LedgerRecord]) -> oneshot::Receiver<bool> {
+        let is_same = |it: &LedgerRecord, next: &LedgerRecord| {
+            it.program().is_some() && it.program() == next.program()
+        };
+        let groups = records.chunk_by(is_same).zip(self.writer.iter().cycle());
+        let receiver = groups.map(|(group, writer)| writer.submit(group)).last();
+        // The receiver of a dropped sender fails, so the caller knows that nothing is recorded.
+        receiver.unwrap_or_else(|| oneshot::channel().1)
+    }
+
+    /// Queues the records of a ceiling, in the order in which ceilings are queued in the ledger.
+    pub(crate) fn queue(
+        &self,
+        queue: impl FnOnce(&mut Ledger) -> (QueuedCeiling, Vec<LedgerRecord>),
+    ) -> (QueuedCeiling, oneshot::Receiver<bool>) {
+        let mut ledger = self.ledger();
+        let (queued, records) = queue(&mut ledger);
+        (queued, self.record_all(&records))
     }
 
-    /// Queues records; the receiver yields whether the last one has reached the log, and so all of them.
-    pub(crate) fn record_all(&self, records: Vec<LedgerRecord>) -> oneshot::Receiver<bool> {
-        let receivers: Vec<_> = records.into_iter().map(|it| self.record(it)).collect();
-        receivers.into_iter().next_back().unwrap_or_else(|| oneshot::channel().1)
+    /// Queues the records of a ceiling as [`queue`](Shard::queue) does, if there is one.
+    pub(crate) fn queue_some(
+        &self,
+        queue: impl FnOnce(&mut Ledger) -> Option<(QueuedCeiling, Vec<LedgerRecord>)>,
+    ) -> Option<(QueuedCeiling, oneshot::Receiver<bool>)> {
+        let mut ledger = self.ledger();
+        let (queued, records) = queue(&mut ledger)?;
+        Some((queued, self.record_all(&records)))
     }
 
     fn is_lost(&self) -> bool {
@@ -511,7 +532,7 @@
     let next = next_owner(entry, index);
     entry.shards.set_owner(index, next.clone());
     let is_recorded =
-        matches!(timeout(RELEASE_TIMEOUT, shard.record_all(records)).await, Ok(Ok(true)));
+        matches!(timeout(RELEASE_TIMEOUT, shard.record_all(&records)).await, Ok(Ok(true)));
     shard.is_lost.store(true, Ordering::Relaxed);
     info!(entry.logger, "shards: released"; "shard" => index, "recorded" => is_recorded,
         "open" => open, "next" => next.as_ref().map_or("none", |it| it.as_str()));
--- a/crates/rosethread_entry/src/shards/claim.rs
+++ b/crates/rosethread_entry/src/shards/claim.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    control::longest_turn,
     entry::Entry,
     ledger::{Ledger, LedgerRecord},
     peers::{PeerError, PeerReply, PeerRequest},
@@ -92,6 +93,7 @@
     let is_lost = Arc::new(AtomicBool::new(false));
     let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
     state.ledger.reset_last_used(entry.now());
+    state.ledger.set_settled_by(entry.now() + longest_turn(entry));
     Ok(Shard::new(epoch, state.ledger, Some(writer), is_lost, claimed))
 }
 
--- a/crates/rosethread_entry/src/shards/writer.rs
+++ b/crates/rosethread_entry/src/shards/writer.rs
@@ -18,15 +18,15 @@
 
 use crate::{entry::Entry, ledger::LedgerRecord, pace::WritePacer, shards::encode_record};
 
-/// The maximum number of records in one append.
+/// The number of records from which an append takes no further ones.
 const MAX_BATCH: usize = 512;
 
 /// The delay before an append is repeated while the log is unavailable.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// A queued record and the sender that reports whether it was appended.
+/// Records that are appended together, and the sender that reports whether they were.
 struct Pending {
-    record: Bytes,
+    records: Vec<Bytes>,
     done: oneshot::Sender<bool>,
 }
 
@@ -50,12 +50,13 @@
         Writer { sender }
     }
 
-    /// Queues a record; the receiver yields whether it has reached the log, or an error if the task
-    /// has ended.
-    pub(super) fn submit(&self, record: LedgerRecord) -> oneshot::Receiver<bool> {
+    /// Queues records, which are appended together; the receiver yields whether they have reached the
+    /// log, or an error if the task has ended.
+    pub(super) fn submit(&self, records: &[LedgerRecord]) -> oneshot::Receiver<bool> {
         let (done, receiver) = oneshot::channel();
+        let records = records.iter().map(encode_record).collect();
         // Fails if the task has ended because the shard is lost; the receiver then fails too.
-        let _ = self.sender.send(Pending { record: encode_record(&record), done });
+        let _ = self.sender.send(Pending { records, done });
         receiver
     }
 }
@@ -76,13 +77,16 @@
         let mut pace = WritePacer::new(&self.entry);
         while receiver.recv_many(&mut batch, 1).await != 0 {
             pace.wait(&self.entry).await;
-            while batch.len() < MAX_BATCH
+            let mut count: usize = batch.iter().map(|it: &Pending| it.records.len()).sum();
+            while count < MAX_BATCH
                 && let Ok(pending) = receiver.try_recv()
             {
+                count += pending.records.len();
                 batch.push(pending);
             }
-            let (records, waiting): (Vec<Bytes>, Vec<_>) =
-                batch.drain(..).map(|it| (it.record, it.done)).unzip();
+            let (records, waiting): (Vec<_>, Vec<_>) =
+                batch.drain(..).map(|it| (it.records, it.done)).unzip();
+            let records = records.concat();
             let fence = FencingToken { epoch: self.epoch, sequence };
             let is_appended = self.append(&records, fence).await;
             for it in waiting {
--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -191,6 +191,7 @@
         let now = self.prepared.entry.now();
         self.dispatched.in_flight.record_success(now);
         suspects::clear_completed(&self.prepared);
+        self.prepared.settle_grant();
         self.store_turn().await?;
         match sender.send(StreamItem::End).await {
             Ok(()) => Ok("answered"),
--- a/crates/rosethread_entry/tests/homes.rs
+++ b/crates/rosethread_entry/tests/homes.rs
@@ -19,6 +19,7 @@
         budget: 100,
         tokens: 1,
         grant: GrantId(index as u64),
+        is_stored: false,
     };
     for (index, (program, target, has_failed)) in turns.iter().enumerate() {
         let ask = turn(index, program);
--- a/crates/rosethread_entry/tests/ledger/losses.rs
+++ b/crates/rosethread_entry/tests/ledger/losses.rs
@@ -1,10 +1,12 @@
 //! What programs get whose shard's owner was lost.
 
+use std::time::Duration;
+
 use rosethread_entry::{GrantId, GrantRequest, Ledger, LedgerRecord, Verdict};
-use rosethread_types::Incarnation;
+use rosethread_types::{Incarnation, ProgramLabel};
 
 use crate::{
-    BUDGETS, NOW, SHORT_TOKENS, TURN_TOKENS,
+    BUDGETS, LATER, NOW, SHORT_TOKENS, TURN_TOKENS,
     shard::{Shard, budget_of},
 };
 
@@ -86,7 +88,122 @@
         budget: 9 * TURN_TOKENS,
         tokens: TURN_TOKENS,
         grant: GrantId(1),
+        is_stored: false,
     };
     assert_eq!(ledger.request_grant(&ask, NOW), Verdict::Record(4 * TURN_TOKENS));
     assert_eq!(ledger.balance(&ask.program).uncertain, 3 * TURN_TOKENS);
 }
+
+/// A program runs stored turns one after the other, each of which uses `share` percent of its tokens, until its
+/// budget is reported as spent. Its owner is lost before the turns `losses`, or during them if `is_midway`.
+fn check_underway(losses: &[usize], share: u64, is_midway: bool) {
+    let mut shard = Shard::default();
+    shard.claim(&[]);
+    shard.is_stored = true;
+    let program = BUDGETS.len() - 1;
+    for turn in 0.. {
+        if losses.contains(&turn) && !is_midway {
+            shard.claim(&[]);
+        }
+        let granted = shard.granted.len();
+        let (owner, ask) = shard.send(0, program, TURN_TOKENS);
+        shard.request_grant(owner, program, ask.clone());
+        shard.flush(owner);
+        if shard.granted.len() == granted {
+            let verdict = shard.owners[owner].ledger.request_grant(&ask, LATER);
+            assert_eq!(verdict, Verdict::Spent, "after {granted} turns");
+            break;
+        }
+        if losses.contains(&turn) && is_midway {
+            shard.claim(&[]);
+        }
+        // The settlement reaches the host that owns the shard by then.
+        shard.end(0, share, |shard, _| vec![shard.position(0)]);
+        shard.flush(shard.position(0));
+    }
+    let (got, budget) = (shard.settled_tokens(program), budget_of(program));
+    assert!(budget < got + TURN_TOKENS, "stopped at {got} tokens of {budget}");
+    assert!(got <= budget + TURN_TOKENS, "got {got} tokens of {budget}");
+}
+
+rosethread_cases::cases!(check_underway {
+    // Guards against status 503 for good: what a ceiling was above its use counted as uncertain, so programs
+    // under way when their owner was lost never got the last turns of their budgets.
+    a_program_has_its_whole_budget_after_a_loss_between_turns: (&[2], 50, false);
+    a_program_has_its_whole_budget_after_a_loss_before_its_first_turn: (&[0], 50, false);
+    a_program_has_its_whole_budget_after_a_late_loss: (&[17], 50, false);
+    a_program_has_its_whole_budget_after_losses_in_a_row: (&[2, 3, 9, 14], 50, false);
+    a_program_of_full_turns_has_its_whole_budget_after_losses: (&[1, 4, 9], 100, false);
+    a_program_has_its_whole_budget_after_a_loss_during_a_turn: (&[2], 50, true);
+    a_program_has_its_whole_budget_after_losses_during_turns: (&[2, 5, 6], 50, true);
+});
+
+/// A new owner is asked for a turn `after` the claim, when earlier owners may have granted the rest of the budget,
+/// of which `open` tokens are reserved for a turn that is handed over.
+fn check_uncertain(after: Duration, open: u64, expected: &Verdict) {
+    let program: ProgramLabel = "p".parse().unwrap();
+    let budget = 4 * TURN_TOKENS;
+    let mut ledger = Ledger::default();
+    let tokens = budget + TURN_TOKENS;
+    ledger.replay(&LedgerRecord::Ceiling { program: program.clone(), budget, spent: 50, tokens });
+    if open != 0 {
+        let (program, request) = (program.clone(), "open".parse().unwrap());
+        ledger.replay(&LedgerRecord::Open { program, request, grant: GrantId(2), tokens: open });
+    }
+    ledger.reset_last_used(NOW);
+    ledger.set_settled_by(LATER);
+    let ask = GrantRequest {
+        program,
+        session: "s".parse().unwrap(),
+        request: "r".parse().unwrap(),
+        budget,
+        tokens: TURN_TOKENS,
+        grant: GrantId(1),
+        is_stored: true,
+    };
+    assert_eq!(ledger.request_grant(&ask, NOW + after), *expected);
+}
+
+rosethread_cases::cases!(check_uncertain {
+    tokens_of_a_lost_owner_are_uncertain_while_its_turns_may_be_under_way:
+        (LATER / 2, 0, &Verdict::Uncertain);
+    // Guards against status 503 for good, which tells callers to come back though nothing can change.
+    tokens_of_a_lost_owner_count_as_spent_once_its_turns_have_ended: (LATER, 0, &Verdict::Spent);
+    a_turn_under_way_that_cannot_return_enough_leaves_them_spent: (LATER, 50, &Verdict::Spent);
+    a_turn_under_way_that_may_return_enough_is_waited_for: (LATER, 400, &Verdict::Uncertain);
+});
+
+// Guards against status 503 for good: the turns of a host that was lost were never settled at their owner.
+#[test]
+fn turns_that_nobody_settles_count_as_spent() {
+    let mut shard = Shard::default();
+    shard.claim(&[]);
+    let (owner, ask) = shard.send(0, 2, TURN_TOKENS);
+    shard.request_grant(owner, 2, ask.clone());
+    let ledger = &mut shard.owners[owner].ledger;
+    let longest = Duration::from_secs(10);
+    assert_eq!(ledger.expire_grants(longest / 2, longest), 0);
+    assert_eq!(ledger.balance(&ask.program).open, TURN_TOKENS);
+    assert_eq!(ledger.expire_grants(longest, longest), 1);
+    let balance = ledger.balance(&ask.program);
+    assert_eq!((balance.spent, balance.open), (TURN_TOKENS, 0));
+}
+
+// Guards against status 402 for a budget that is not spent: a ledger that was transferred without the log
+// counted as spent what earlier owners may have granted.
+#[test]
+fn a_transfer_leaves_uncertain_tokens_uncertain() {
+    let program: ProgramLabel = "p".parse().unwrap();
+    let budget = 2 * TURN_TOKENS;
+    let mut ledger = Ledger::default();
+    ledger.replay(&LedgerRecord::Unrecorded { program: program.clone(), budget });
+    ledger.replay(&LedgerRecord::Ceiling {
+        program: program.clone(),
+        budget,
+        spent: 0,
+        tokens: budget,
+    });
+    let copy = ledger.close_for_transfer(NOW);
+    let balance = copy.balance(&program);
+    assert_eq!((balance.spent, balance.uncertain), (0, budget));
+}
--- a/crates/rosethread_entry/tests/ledger/main.rs
+++ b/crates/rosethread_entry/tests/ledger/main.rs
@@ -5,7 +5,7 @@
 mod records;
 mod shard;
 
-use std::time::Duration;
+use std::{marker::PhantomData, time::Duration};
 
 use proptest::{prelude::*, test_runner::RngSeed};
 use proptest_state_machine::{StateMachineTest, prop_state_machine};
@@ -29,11 +29,14 @@
 /// All steps happen at the same time, since what may be granted does not depend on time.
 const NOW: Duration = Duration::ZERO;
 
+/// A time by which all turns of earlier owners have ended.
+const LATER: Duration = Duration::from_secs(60);
+
 #[derive(Clone, Debug)]
 enum Step {
     /// A turn requests a grant from an owner, counted from the newest; an older one may not have
     /// noticed that it is fenced.
-    Ask { owner: usize, program: usize, tokens: u64 },
+    Ask { owner: usize, program: usize, tokens: u64, is_stored: bool },
     /// A turn in progress ends after a share of its tokens, in percent. Its owner receives the
     /// settlement or not, and so does another owner that was asked.
     End { turn: usize, share: u64, is_sent: bool, other: Option<usize> },
@@ -44,8 +47,9 @@
     CancelWaiting { owner: usize, turn: usize },
     /// A request that was sent earlier reaches its owner, possibly once more.
     Deliver { request: usize },
-    /// An owner's queued records reach the log, unless a newer owner has claimed the shard.
-    Flush { owner: usize },
+    /// An owner's queued records, or the first `count` of them, reach the log, unless a newer owner has
+    /// claimed the shard. The owner may learn of several in the reverse order.
+    Flush { owner: usize, count: Option<usize>, is_reversed: bool },
     /// A new owner claims the shard.
     Claim,
     /// A new owner claims the shard with the accounts that the last one has handed over.
@@ -61,10 +65,10 @@
 
     fn step_strategy() -> BoxedStrategy<Step> {
         prop_oneof![
-            10 => (0_usize..3, 0_usize..BUDGETS.len(), prop::bool::weighted(0.8))
-                .prop_map(|(owner, program, is_long)| {
+            10 => (0_usize..3, 0_usize..BUDGETS.len(), prop::bool::weighted(0.8), any::<bool>())
+                .prop_map(|(owner, program, is_long, is_stored)| {
                     let tokens = if is_long { TURN_TOKENS } else { SHORT_TOKENS };
-                    Step::Ask { owner, program, tokens }
+                    Step::Ask { owner, program, tokens, is_stored }
                 }),
             8 => (0_usize..8, 0_u64..=100, prop::bool::weighted(0.8), prop::option::of(0_usize..3))
                 .prop_map(|(turn, share, is_sent, other)| Step::End { turn, share, is_sent, other }),
@@ -73,7 +77,8 @@
             2 => (0_usize..3, 0_usize..4)
                 .prop_map(|(owner, turn)| Step::CancelWaiting { owner, turn }),
             4 => (0_usize..20).prop_map(|request| Step::Deliver { request }),
-            6 => (0_usize..3).prop_map(|owner| Step::Flush { owner }),
+            6 => (0_usize..3, prop::option::of(1_usize..3), any::<bool>())
+                .prop_map(|(owner, count, is_reversed)| Step::Flush { owner, count, is_reversed }),
             1 => Just(Step::Claim),
             1 => Just(Step::HandOver),
             1 => Just(Step::Release),
@@ -83,21 +88,18 @@
     }
 }
 
-struct Budgets;
-
-impl StateMachineTest for Budgets {
-    type SystemUnderTest = Shard;
-    type Reference = StatelessReference<Budgets>;
-
-    fn init_test(_state: &()) -> Shard {
+impl Shard {
+    fn new() -> Shard {
         let mut shard = Shard::default();
         shard.claim(&[]);
         shard
     }
 
-    fn apply(mut shard: Shard, _state: &(), step: Step) -> Shard {
+    fn apply(mut self, step: Step) -> Shard {
+        let shard = &mut self;
         match step {
-            Step::Ask { owner, program, tokens } => {
+            Step::Ask { owner, program, tokens, is_stored } => {
+                shard.is_stored = is_stored;
                 let (owner, ask) = shard.send(owner, program, tokens);
                 shard.request_grant(owner, program, ask);
             }
@@ -116,9 +118,9 @@
                     shard.request_grant(owner, program, ask);
                 }
             }
-            Step::Flush { owner } => {
+            Step::Flush { owner, count, is_reversed } => {
                 let owner = shard.position(owner);
-                shard.flush(owner);
+                shard.flush_some(owner, count.unwrap_or(usize::MAX), is_reversed);
             }
             Step::Claim => {
                 shard.has_takeover = true;
@@ -149,14 +151,15 @@
             Step::Release => {
                 let last = shard.position(0);
                 let records = shard.release(last);
-                shard.owners[last].queued.extend(records);
+                shard.owners[last].queued.push((None, records));
                 shard.flush(last);
             }
         }
-        shard
+        self
     }
 
-    fn check_invariants(shard: &Shard, _state: &()) {
+    fn check(&self) {
+        let shard = self;
         for program in 0..BUDGETS.len() {
             let (handed, budget) = (shard.max_spent(program), budget_of(program));
             // Users accept that a program exceeds its budget by one turn after a takeover.
@@ -175,6 +178,61 @@
     }
 }
 
+/// Grants, ends, losses and handovers of any kind.
+struct Budgets;
+
+/// Plays the steps of a strategy.
+struct Play<S>(PhantomData<S>);
+
+impl<S> StateMachineTest for Play<S>
+where
+    S: StepStrategy<Step = Step> + 'static,
+{
+    type SystemUnderTest = Shard;
+    type Reference = StatelessReference<S>;
+
+    fn init_test(_state: &()) -> Shard {
+        Shard::new()
+    }
+
+    fn apply(shard: Shard, _state: &(), step: Step) -> Shard {
+        shard.apply(step)
+    }
+
+    fn check_invariants(shard: &Shard, _state: &()) {
+        shard.check();
+    }
+}
+
+/// Lines of one program whose turns are stored, and whose owners are lost again and again.
+struct StoredTurns;
+
+impl StepStrategy for StoredTurns {
+    type Step = Step;
+
+    fn step_strategy() -> BoxedStrategy<Step> {
+        let owner = || prop_oneof![5 => Just(0_usize), 1 => 0_usize..3];
+        prop_oneof![
+            8 => (owner(), prop::bool::weighted(0.9)).prop_map(|(owner, is_stored)| Step::Ask {
+                owner,
+                program: 1,
+                tokens: TURN_TOKENS,
+                is_stored,
+            }),
+            8 => (0_usize..4, prop_oneof![Just(0_u64), Just(20), Just(100)])
+                .prop_map(|(turn, share)| Step::End { turn, share, is_sent: true, other: None }),
+            8 => (owner(), prop::option::of(1_usize..3), any::<bool>())
+                .prop_map(|(owner, count, is_reversed)| Step::Flush { owner, count, is_reversed }),
+            1 => Just(Step::Claim),
+        ]
+        .boxed()
+    }
+}
+
+type BudgetsPlay = Play<Budgets>;
+
+type StoredTurnsPlay = Play<StoredTurns>;
+
 prop_state_machine! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(9),
@@ -184,7 +242,10 @@
     })]
 
     #[test]
-    fn no_order_of_events_overspends(sequential 1..80 => Budgets);
+    fn no_order_of_events_overspends(sequential 1..80 => BudgetsPlay);
+
+    #[test]
+    fn no_order_of_losses_overspends_by_stored_turns(sequential 20..80 => StoredTurnsPlay);
 }
 
 /// One owner grants turns that each use half of their tokens. It crashes before turn `takeover_at`,
@@ -205,6 +266,7 @@
             budget: turns * TURN_TOKENS,
             tokens: TURN_TOKENS,
             grant: GrantId(turn),
+            is_stored: false,
         };
         shard.request_grant(owner, program, ask);
         if has_log {
@@ -235,6 +297,7 @@
         budget: 2 * TURN_TOKENS,
         tokens: TURN_TOKENS,
         grant: GrantId(1),
+        is_stored: false,
     };
     let owner = "node-1".parse().unwrap();
     let (program, budget) = (ask.program.clone(), ask.budget);
@@ -269,6 +332,7 @@
         budget: TURN_TOKENS,
         tokens: TURN_TOKENS,
         grant: GrantId(grant),
+        is_stored: false,
     };
     for grant in asks {
         assert!(matches!(ledger.request_grant(&ask(*grant), NOW), Verdict::Granted { .. }));
--- a/crates/rosethread_entry/tests/ledger/records.rs
+++ b/crates/rosethread_entry/tests/ledger/records.rs
@@ -70,6 +70,7 @@
         budget: 200,
         tokens: 100,
         grant: GrantId(1),
+        is_stored: false,
     };
     let claim = LedgerRecord::Claim { epoch: 1, owner: "n".parse().unwrap(), run: Incarnation(2) };
     let mut ledger = Ledger::default();
--- a/crates/rosethread_entry/tests/ledger/shard.rs
+++ b/crates/rosethread_entry/tests/ledger/shard.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 
 use rosethread_entry::{
-    EndedGrants, GrantId, GrantRequest, Ledger, LedgerRecord, Settlement, Verdict,
+    EndedGrants, GrantId, GrantRequest, Ledger, LedgerRecord, QueuedCeiling, Settlement, Verdict,
 };
-use rosethread_types::Incarnation;
+use rosethread_types::{Incarnation, ProgramLabel};
 
-use crate::{BUDGETS, NOW, TURN_TOKENS};
+use crate::{BUDGETS, LATER, NOW, TURN_TOKENS};
 
 /// One owner of the shard, current or former, with its records that have not reached the log.
 pub struct Owner {
@@ -19,9 +19,20 @@
     pub ended: EndedGrants,
     /// Grants, by program, that the owner was asked for and for which it received no settlement.
     pub unsettled: BTreeSet<(usize, GrantId)>,
-    pub queued: Vec<LedgerRecord>,
-    /// Turns that wait for a queued ceiling: the program, the request and the ceiling.
-    pub waiting: Vec<(usize, GrantRequest, u64)>,
+    /// The records that have not reached the log; those of one entry are appended together.
+    pub queued: Vec<(Option<QueuedCeiling>, Vec<LedgerRecord>)>,
+    /// Turns that wait for a queued ceiling: the program and the request.
+    pub waiting: Vec<(usize, GrantRequest)>,
+}
+
+impl Owner {
+    /// Queues the ceiling that `plan` returns, if it returns one.
+    fn queue(&mut self, program: &ProgramLabel, plan: impl FnOnce(&Ledger) -> Option<u64>) {
+        if let Some(tokens) = plan(&self.ledger) {
+            let (queued, records) = self.ledger.queue_ceiling(program, tokens);
+            self.queued.push((Some(queued), records));
+        }
+    }
 }
 
 /// A granted turn.
@@ -49,6 +60,8 @@
     /// Whether an owner has claimed the shard after another one, so that it knows earlier grants
     /// only from records.
     pub has_takeover: bool,
+    /// Whether the turns that are sent from now on are stored.
+    pub is_stored: bool,
 }
 
 pub fn budget_of(program: usize) -> u64 {
@@ -67,6 +80,7 @@
             ledger.open_grants().into_iter().filter(|it| !self.settled.contains(it)).collect();
         let sent = self.sent.iter().map(|(_, program, ask)| (*program, ask.grant));
         let unsettled = sent.filter(|(_, grant)| open.contains(grant)).collect();
+        ledger.set_settled_by(LATER);
         self.fence += 1;
         let epoch = self.fence;
         let owner = format!("node-{epoch}").parse().unwrap();
@@ -104,6 +118,7 @@
             budget: budget_of(program),
             tokens,
             grant: GrantId(u64::from(self.request_count)),
+            is_stored: self.is_stored,
         };
         let owner = self.position(back);
         self.owners[owner].unsettled.insert((program, ask.grant));
@@ -118,6 +133,8 @@
         it.ended.insert(settlement.grant, NOW);
         if it.ledger.settle(settlement, NOW) {
             self.settled.insert(settlement.grant);
+            let program = &settlement.program;
+            it.queue(program, |ledger| ledger.plan_settled_ceiling(program));
         }
     }
 
@@ -130,16 +147,15 @@
         let was_granted = self.granted.iter().any(|it| it.ask.grant == ask.grant);
         match it.ledger.request_grant(&ask, NOW) {
             Verdict::Granted { .. } => {
-                if let Some(tokens) = it.ledger.plan_ceiling(&ask.program, ask.tokens) {
-                    it.queued.extend(it.ledger.ceiling_records(&ask.program, tokens));
-                }
+                it.queue(&ask.program, |ledger| ledger.plan_ceiling(&ask.program, ask.tokens));
                 if !was_granted {
                     self.granted.push(Granted { owner, program, ask, used: None });
                 }
             }
             Verdict::Record(tokens) => {
-                it.queued.extend(it.ledger.ceiling_records(&ask.program, tokens));
-                it.waiting.push((program, ask, tokens));
+                let (queued, records) = it.ledger.raise_ceiling(&ask.program, tokens);
+                it.queued.push((Some(queued), records));
+                it.waiting.push((program, ask));
             }
             Verdict::Spent => {
                 let ended = self.settled_tokens(program);
@@ -152,20 +168,27 @@
         }
     }
 
-    /// Appends an owner's queued records unless it is fenced, and repeats the requests that waited.
+    /// Appends all queued records of an owner unless it is fenced, and repeats the requests that waited.
     pub fn flush(&mut self, owner: usize) {
+        self.flush_some(owner, usize::MAX, false);
+    }
+
+    /// Appends the first `count` of an owner's queued entries unless it is fenced, and repeats the requests
+    /// that waited. The owner learns of the appends in the reverse order if `is_reversed`.
+    pub fn flush_some(&mut self, owner: usize, count: usize, is_reversed: bool) {
         let it = &mut self.owners[owner];
         if it.epoch < self.fence {
             return;
         }
-        let queued = std::mem::take(&mut it.queued);
-        for record in &queued {
-            if let LedgerRecord::Ceiling { program, tokens, .. } = record {
-                it.ledger.confirm_ceiling(program, *tokens);
-            }
+        let mut appended: Vec<_> = it.queued.drain(..count.min(it.queued.len())).collect();
+        self.log.extend(appended.iter().flat_map(|(_, records)| records.iter().cloned()));
+        if is_reversed {
+            appended.reverse();
+        }
+        for queued in appended.iter().filter_map(|(queued, _)| queued.as_ref()) {
+            it.ledger.confirm_ceiling(queued);
         }
-        self.log.extend(queued);
-        for (program, ask, _) in std::mem::take(&mut it.waiting) {
+        for (program, ask) in std::mem::take(&mut it.waiting) {
             self.request_grant(owner, program, ask);
         }
     }
@@ -214,7 +237,7 @@
     pub fn cancel_waiting(&mut self, back: usize, turn: usize) {
         let owner = self.position(back);
         let waiting = &self.owners[owner].waiting;
-        let Some((program, ask, _)) = waiting.get(turn % waiting.len().max(1)).cloned() else {
+        let Some((program, ask)) = waiting.get(turn % waiting.len().max(1)).cloned() else {
             return;
         };
         self.settle(owner, program, &settlement(&ask, 0));
--- a/crates/rosethread_entry/tests/peers.rs
+++ b/crates/rosethread_entry/tests/peers.rs
@@ -3,9 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use rosethread_entry::{
-    AskProgram, ClientLimits, KeyDigest, Organisation, Organisations, PathRequest, PeerReply,
-    PeerRequest, QuotaAsk, QuotaReply, Route, RouteKind, Routes, Target, TargetStatus,
-    WeightedService,
+    AskProgram, ClientLimits, GrantId, GrantRequest, KeyDigest, Organisation, Organisations,
+    PathRequest, PeerReply, PeerRequest, QuotaAsk, QuotaReply, Route, RouteKind, Routes, Target,
+    TargetStatus, WeightedService,
 };
 use rosethread_types::{Incarnation, Revision};
 
@@ -50,6 +50,37 @@
     assert_eq!(postcard::to_stdvec(&(8_u64, PeerRequest::Targets)).unwrap(), bytes);
 }
 
+/// The request 6 for the tokens of a turn as the last release sent it.
+const LAST_RELEASE_ASK: &str = "060003017001730172ac026407";
+
+fn ask(is_stored: bool) -> PeerRequest {
+    let ask = GrantRequest {
+        program: "p".parse().unwrap(),
+        session: "s".parse().unwrap(),
+        request: "r".parse().unwrap(),
+        budget: 300,
+        tokens: 100,
+        grant: GrantId(7),
+        is_stored,
+    };
+    PeerRequest::Ask { shard: 3, ask }
+}
+
+/// Owners of the last release don't look at what follows a request, and this one reads theirs.
+fn check_ask(is_stored: bool) {
+    let frame = ask(is_stored).encode(6).unwrap();
+    let (id, request): (u64, &[u8]) = postcard::take_from_bytes(&frame).unwrap();
+    assert_eq!((id, PeerRequest::decode(request)), (6, Ok(ask(is_stored))));
+    let last_release = hex::decode(LAST_RELEASE_ASK).unwrap();
+    assert_eq!(frame[..last_release.len()], last_release);
+    assert_eq!(postcard::from_bytes(request), Ok(ask(false)));
+}
+
+rosethread_cases::cases!(check_ask {
+    a_request_for_a_turn_is_that_of_the_last_release: (false);
+    a_request_for_a_stored_turn_begins_like_that_of_the_last_release: (true);
+});
+
 /// The request 9 for the origin of the stream 5, and the reply that the node knows none, as the last
 /// release sent them.
 const LAST_RELEASE_FIND_ORIGIN: (&str, &str) = ("090905", "090900");
