--- a/crates/rosethread_runtime/src/lib.rs
+++ b/crates/rosethread_runtime/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here depends on calls, programs or targets. `rosethread_node` and `rosethread_entry` are
 //! built on it, so tests pause, kill and seed both in the same way.
 
+mod end_guard;
 mod membership;
 mod random;
 mod tasks;
@@ -11,6 +12,7 @@
 mod timer;
 mod transport;
 
+pub use end_guard::EndGuard;
 pub use membership::{
     Announce, DroppedDatagrams, Leave, LifeSigns, MembershipActor, MembershipParts, NoLifeSigns,
     NodeList, PingAddresses, SetSummary, start_membership,
