Ledger records that nobody waits for are gathered for 40 ms

Change: such a record waits up to 40 ms for others of its shard, which is less than the tools between two turns take. A record that a turn or the end of a host waits for goes at once, with those that are queued.

--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -15,7 +15,7 @@
     entry::{Entry, Phase},
     ledger::{GrantRequest, Ledger, Settlement, Verdict},
     peers::{PeerError, PeerReply, PeerRequest},
-    shards::{self, NotOwned, Shard, candidates_for, next_owner, responsible_for},
+    shards::{self, NotOwned, Shard, Urgency, candidates_for, next_owner, responsible_for},
 };
 
 /// The maximum time to wait for an owner's decision before the turn is refused.
@@ -187,7 +187,7 @@
         match verdict {
             Verdict::Record(tokens) => raise_ceiling(&shard, ask, tokens).await.map_err(unable)?,
             Verdict::Granted { .. } => {
-                record_ceiling(entry, &shard, &ask.program, |it| {
+                record_ceiling(entry, &shard, &ask.program, Urgency::Now, |it| {
                     it.plan_ceiling(&ask.program, ask.tokens)
                 });
                 return Ok(verdict);
@@ -196,7 +196,7 @@
             Verdict::Spent | Verdict::Uncertain => {
                 if let Some(record) = shard.ledger().spent_record(&ask.program) {
                     // Not awaited: without the record a new owner only answers `Uncertain`.
-                    drop(shard.record_all(&[record]));
+                    drop(shard.record_all(&[record], Urgency::Soon));
                 }
                 log_verdict(entry, index, &shard, ask, &verdict);
                 return Ok(verdict);
@@ -234,10 +234,11 @@
     entry: &Entry,
     shard: &Arc<Shard>,
     program: &ProgramLabel,
+    urgency: Urgency,
     plan: impl FnOnce(&Ledger) -> Option<Tokens>,
 ) {
     let planned = |ledger: &mut Ledger| Some(ledger.queue_ceiling(program, plan(ledger)?));
-    let Some((queued, receiver)) = shard.queue_some(planned) else {
+    let Some((queued, receiver)) = shard.queue_some(urgency, planned) else {
         return;
     };
     let shard = shard.clone();
@@ -268,7 +269,9 @@
         }
         if let Some(shard) = shard.filter(|it| was_open && it.has_writer()) {
             let program = &settlement.program;
-            record_ceiling(entry, &shard, program, |it| it.plan_settled_ceiling(program));
+            record_ceiling(entry, &shard, program, Urgency::Soon, |it| {
+                it.plan_settled_ceiling(program)
+            });
         }
         (is_new, was_open)
     };
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -40,6 +40,7 @@
 use writer::Writer;
 
 pub(crate) use repeat::repeat_claims;
+pub(crate) use writer::Urgency;
 
 /// The time after a failed claim in which no other claim of the shard starts; without it the claims
 /// of all turns that wait for the shard would overload the log.
@@ -103,34 +104,39 @@
 
     /// Queues records, of which consecutive ones of a program are appended together; the receiver yields
     /// whether the last one has reached the log, and so all of them, or an error if no writer runs.
-    pub(crate) fn record_all(&self, records: &[LedgerRecord]) -> oneshot::Receiver<bool> {
+    pub(crate) fn record_all(
+        &self,
+        records: &[LedgerRecord],
+        urgency: Urgency,
+    ) -> oneshot::Receiver<bool> {
         let is_same = |it: &LedgerRecord, next: &LedgerRecord| {
             it.program().is_some() && it.program() == next.program()
         };
         let groups = records.chunk_by(is_same).zip(self.writer.iter().cycle());
-        let receiver = groups.map(|(group, writer)| writer.submit(group)).last();
+        let receiver = groups.map(|(group, writer)| writer.submit(group, urgency)).last();
         // The receiver of a dropped sender fails, so the caller knows that nothing is recorded.
         receiver.unwrap_or_else(|| oneshot::channel().1)
     }
 
-    /// Queues the records of a ceiling, in the order in which ceilings are queued in the ledger.
+    /// Queues the records of a ceiling for which a turn waits, in the order in which ceilings are queued in the ledger.
     pub(crate) fn queue(
         &self,
         queue: impl FnOnce(&mut Ledger) -> (QueuedCeiling, Vec<LedgerRecord>),
     ) -> (QueuedCeiling, oneshot::Receiver<bool>) {
         let mut ledger = self.ledger();
         let (queued, records) = queue(&mut ledger);
-        (queued, self.record_all(&records))
+        (queued, self.record_all(&records, Urgency::Now))
     }
 
     /// Queues the records of a ceiling as [`queue`](Shard::queue) does, if there is one.
     pub(crate) fn queue_some(
         &self,
+        urgency: Urgency,
         queue: impl FnOnce(&mut Ledger) -> Option<(QueuedCeiling, Vec<LedgerRecord>)>,
     ) -> Option<(QueuedCeiling, oneshot::Receiver<bool>)> {
         let mut ledger = self.ledger();
         let (queued, records) = queue(&mut ledger)?;
-        Some((queued, self.record_all(&records)))
+        Some((queued, self.record_all(&records, urgency)))
     }
 
     fn is_lost(&self) -> bool {
@@ -531,8 +537,10 @@
     entry.shards.yielded().insert(index, yielded);
     let next = next_owner(entry, index);
     entry.shards.set_owner(index, next.clone());
-    let is_recorded =
-        matches!(timeout(RELEASE_TIMEOUT, shard.record_all(&records)).await, Ok(Ok(true)));
+    let is_recorded = matches!(
+        timeout(RELEASE_TIMEOUT, shard.record_all(&records, Urgency::Now)).await,
+        Ok(Ok(true))
+    );
     shard.is_lost.store(true, Ordering::Relaxed);
     info!(entry.logger, "shards: released"; "shard" => index, "recorded" => is_recorded,
         "open" => open, "next" => next.as_ref().map_or("none", |it| it.as_str()));
--- a/crates/rosethread_entry/src/shards/repeat.rs
+++ b/crates/rosethread_entry/src/shards/repeat.rs
@@ -17,7 +17,7 @@
     entry::Entry,
     grants::RECORD_TIMEOUT,
     ledger::LedgerRecord,
-    shards::{NotOwned, Shard},
+    shards::{NotOwned, Shard, Urgency},
 };
 
 /// A claim is repeated when it has this fraction of the age at which the log drops it.
@@ -56,7 +56,7 @@
         let (epoch, owner) = (self.epoch, entry.settings.node.clone());
         let claim = LedgerRecord::Claim { epoch, owner, run: entry.incarnation };
         records.extend([claim, LedgerRecord::Bounded { epoch }]);
-        match self.record_all(&records).await {
+        match self.record_all(&records, Urgency::Now).await {
             Ok(true) => {
                 self.claimed_ms.fetch_max(started.as_millis() as u64, Ordering::Relaxed);
                 Ok(())
--- a/crates/rosethread_entry/src/shards/writer.rs
+++ b/crates/rosethread_entry/src/shards/writer.rs
@@ -13,7 +13,7 @@
 use slog::warn;
 use tokio::{
     sync::{mpsc, oneshot},
-    time::sleep,
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::{entry::Entry, ledger::LedgerRecord, pace::WritePacer, shards::encode_record};
@@ -21,15 +21,27 @@
 /// The number of records from which an append takes no further ones.
 const MAX_BATCH: usize = 512;
 
+/// How long records that nobody waits for may wait for others. A program's next turn comes later than
+/// that, after its tools, so that its ceiling is in the log by then.
+const GATHER_TIME: Duration = Duration::from_millis(40);
+
 /// The delay before an append is repeated while the log is unavailable.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Records that are appended together, and the sender that reports whether they were.
 struct Pending {
     records: Vec<Bytes>,
+    urgency: Urgency,
     done: oneshot::Sender<bool>,
 }
 
+/// Whether a call or the end of the host waits for records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Urgency {
+    Now,
+    Soon,
+}
+
 /// The queue of one shard's records to the task that appends them to the log.
 pub(super) struct Writer {
     sender: mpsc::UnboundedSender<Pending>,
@@ -52,11 +64,15 @@
 
     /// Queues records, which are appended together; the receiver yields whether they have reached the
     /// log, or an error if the task has ended.
-    pub(super) fn submit(&self, records: &[LedgerRecord]) -> oneshot::Receiver<bool> {
+    pub(super) fn submit(
+        &self,
+        records: &[LedgerRecord],
+        urgency: Urgency,
+    ) -> oneshot::Receiver<bool> {
         let (done, receiver) = oneshot::channel();
         let records = records.iter().map(encode_record).collect();
         // Fails if the task has ended because the shard is lost; the receiver then fails too.
-        let _ = self.sender.send(Pending { records, done });
+        let _ = self.sender.send(Pending { records, urgency, done });
         receiver
     }
 }
@@ -70,6 +86,25 @@
     is_lost: Arc<AtomicBool>,
 }
 
+/// Adds the queued records to `batch`, and waits for more while nobody waits for any of them.
+async fn gather(receiver: &mut mpsc::UnboundedReceiver<Pending>, batch: &mut Vec<Pending>) {
+    let until = Instant::now() + GATHER_TIME;
+    let mut count: usize = batch.iter().map(|it| it.records.len()).sum();
+    while count < MAX_BATCH {
+        let is_urgent = batch.iter().any(|it| it.urgency == Urgency::Now);
+        let next = match receiver.try_recv() {
+            Ok(next) => Some(next),
+            Err(_) if is_urgent => None,
+            Err(_) => timeout_at(until, receiver.recv()).await.ok().flatten(),
+        };
+        let Some(next) = next else {
+            return;
+        };
+        count += next.records.len();
+        batch.push(next);
+    }
+}
+
 impl Appender {
     async fn run(self, mut receiver: mpsc::UnboundedReceiver<Pending>) {
         let mut sequence = 1;
@@ -77,13 +112,7 @@
         let mut pace = WritePacer::new(&self.entry);
         while receiver.recv_many(&mut batch, 1).await != 0 {
             pace.wait(&self.entry).await;
-            let mut count: usize = batch.iter().map(|it: &Pending| it.records.len()).sum();
-            while count < MAX_BATCH
-                && let Ok(pending) = receiver.try_recv()
-            {
-                count += pending.records.len();
-                batch.push(pending);
-            }
+            gather(&mut receiver, &mut batch).await;
             let (records, waiting): (Vec<_>, Vec<_>) =
                 batch.drain(..).map(|it| (it.records, it.done)).unzip();
             let records = records.concat();
