Events that wait for a caller take 64 KiB a stream

Cause: up to 32 events wait for a caller that reads late, and an event may have 64 KiB. A bound on a number stood for one on bytes.

Change: the events that wait take 64 KiB together; a larger one waits alone. Then the target is not read, as before at 32 events.

--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -7,7 +7,10 @@
 use futures::StreamExt;
 use rosethread_types::{Reason, Refusal, Tokens};
 use slog::{info, warn};
-use tokio::{sync::mpsc, time::timeout_at};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
+    time::timeout_at,
+};
 
 use crate::{
     call::{
@@ -26,6 +29,9 @@
 /// buffer is full.
 const CALLER_BUFFER_EVENTS: usize = 32;
 
+/// Size in bytes up to which these events are buffered. A larger event is buffered alone.
+const CALLER_BUFFER_BYTES: usize = 64 << 10;
+
 /// The number of targets that have to say that a stream has no further event.
 const CONFIRMED_ENDS: u32 = 2;
 
@@ -38,8 +44,8 @@
 /// What the relay of a stream hands to the caller's side.
 #[derive(Debug)]
 enum StreamItem {
-    /// The bytes of an event.
-    Event(Bytes),
+    /// The bytes of an event, and their part of the buffer.
+    Event(Bytes, OwnedSemaphorePermit),
     /// The stream is complete.
     End,
     /// The stream has ended early.
@@ -58,7 +64,7 @@
     /// the stream has ended early.
     pub async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
         match self.0.recv().await {
-            Some(StreamItem::Event(bytes)) => Some(Ok(bytes)),
+            Some(StreamItem::Event(bytes, _)) => Some(Ok(bytes)),
             Some(StreamItem::End) => None,
             Some(StreamItem::Interrupted(error)) => Some(Err(error)),
             None => Some(Err(StreamInterrupted("its relay has ended".to_owned()))),
@@ -173,13 +179,21 @@
         first_event: Option<Event>,
         sender: &mpsc::Sender<StreamItem>,
     ) -> Result<&'static str, Refusal> {
+        let buffer = Arc::new(Semaphore::new(CALLER_BUFFER_BYTES));
         let mut next = first_event;
         while let Some(event) = next {
             if !event.is_comment() {
                 self.count_event()?;
                 self.record_event(&event);
             }
-            if sender.send(StreamItem::Event(event.bytes)).await.is_err() {
+            let bytes = event.bytes.len().min(CALLER_BUFFER_BYTES) as u32;
+            let room = tokio::select! {
+                biased;
+                () = sender.closed() => return Ok("caller-left"),
+                room = buffer.clone().acquire_many_owned(bytes) => room,
+            };
+            let room = room.expect("nothing closes the semaphore");
+            if sender.send(StreamItem::Event(event.bytes, room)).await.is_err() {
                 return Ok("caller-left");
             }
             next = tokio::select! {
