An event in a stream's buffer names its part of it

The lint for fields that are never read rejected (clippy, -D warnings): the permit was held by a variant without a name and dropped with a wildcard. It is dropped in so many words now; no change of behaviour, unread.rs passes as before.

--- a/crates/rosethread_entry/src/stream.rs
+++ b/crates/rosethread_entry/src/stream.rs
@@ -44,8 +44,8 @@
 /// What the relay of a stream hands to the caller's side.
 #[derive(Debug)]
 enum StreamItem {
-    /// The bytes of an event, and their part of the buffer.
-    Event(Bytes, OwnedSemaphorePermit),
+    /// An event, which holds its part of the buffer until the caller's side takes it.
+    Event { bytes: Bytes, room: OwnedSemaphorePermit },
     /// The stream is complete.
     End,
     /// The stream has ended early.
@@ -64,7 +64,10 @@
     /// the stream has ended early.
     pub async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
         match self.0.recv().await {
-            Some(StreamItem::Event(bytes, _)) => Some(Ok(bytes)),
+            Some(StreamItem::Event { bytes, room }) => {
+                drop(room);
+                Some(Ok(bytes))
+            }
             Some(StreamItem::End) => None,
             Some(StreamItem::Interrupted(error)) => Some(Err(error)),
             None => Some(Err(StreamInterrupted("its relay has ended".to_owned()))),
@@ -193,7 +196,7 @@
                 room = buffer.clone().acquire_many_owned(bytes) => room,
             };
             let room = room.expect("nothing closes the semaphore");
-            if sender.send(StreamItem::Event(event.bytes, room)).await.is_err() {
+            if sender.send(StreamItem::Event { bytes: event.bytes, room }).await.is_err() {
                 return Ok("caller-left");
             }
             next = tokio::select! {
