A host at the address of a dead one does not answer for it

Membership takes replies from the address of a node in doubt for its signs of life. Where another host has got the address of one that is gone, its replies would have brought the dead one back, and shards would have been ranked to a host that doesn't exist.

Change: a node in doubt whose address a working node uses is not asked about.

Evidence: a_host_at_the_address_of_a_dead_one_does_not_answer_for_it fails without the change (the node is asked about).

--- a/crates/rosethread_membership/src/detector.rs
+++ b/crates/rosethread_membership/src/detector.rs
@@ -10,7 +10,12 @@
 //! reports of changed statuses are sent before load updates, and a node that receives a report of a
 //! suspect or dead node which is older than its own report of that node as alive probes it next.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use rosethread_types::{Incarnation, NodeName, ZoneName};
 
@@ -171,6 +176,7 @@
     /// The time of the last tick.
     last_tick: Duration,
     peers: BTreeMap<NodeName, Peer>,
+    /// The last reports of nodes that were dead for so long that they are no longer probed.
     departed: Arc<BTreeMap<NodeName, NodeState>>,
     /// The nodes still to be probed in this round, in random order; taken from the end.
     probe_round: Vec<NodeName>,
@@ -311,12 +317,18 @@
 
     /// Returns the nodes that have yet to answer a ping, or are held for suspect or dead, with the
     /// addresses for requests between nodes.
+    ///
+    /// A node whose address another one uses by now is left out: that one would answer in its place.
     pub fn doubted(&self) -> Vec<(NodeName, SocketAddr)> {
+        let peers = || self.peers.values().map(|it| &it.state);
+        let working = || peers().filter(|it| it.status < Status::Suspect);
+        let in_use: BTreeSet<SocketAddr> = working().map(|it| it.contact.peer).collect();
+        let failed = peers().filter(|it| Status::Suspect <= it.status);
+        let failed = failed.chain(self.departed.values());
+        let failed = failed.filter(|it| !in_use.contains(&it.contact.peer));
         let pending = self.pending_probe.as_ref().map(|it| &it.subject);
-        let peers = self.peers.values().map(|it| &it.state);
-        let doubted = peers.filter(|it| Status::Suspect <= it.status || pending == Some(&it.node));
-        let all = doubted.chain(self.departed.values());
-        all.map(|it| (it.node.clone(), it.contact.peer)).collect()
+        let doubted = working().filter(|it| pending == Some(&it.node)).chain(failed);
+        doubted.map(|it| (it.node.clone(), it.contact.peer)).collect()
     }
 
     /// Records that `node` has answered a request over another connection than that of the datagrams.
--- a/crates/rosethread_membership/tests/detector.rs
+++ b/crates/rosethread_membership/tests/detector.rs
@@ -260,6 +260,22 @@
     check_not_alive(&network, 1);
 }
 
+// Guards against hosts that are gone coming back to life, where another host has got their address.
+#[test]
+fn a_host_at_the_address_of_a_dead_one_does_not_answer_for_it() {
+    let mut network = Network::new(4, 0.0);
+    network.run(Duration::from_secs(4));
+    network.detectors.remove(&1);
+    network.run(Duration::from_secs(8));
+    let is_doubted = |network: &Network| {
+        network.detectors[&0].doubted().iter().any(|(node, _)| *node == name(1))
+    };
+    assert!(is_doubted(&network));
+    let now = network.now;
+    network.detectors.get_mut(&0).unwrap().add_node(now, name(7), contact(1));
+    assert!(!is_doubted(&network));
+}
+
 #[test]
 fn a_node_that_was_dead_for_long_is_remembered() {
     let mut network = Network::new(4, 0.0);
