--- a/review/harness-3/cases/memory.rs
+++ b/review/harness-3/cases/memory.rs
@@ -18,7 +18,7 @@
     store::Store,
 };
 
-const MACHINES: usize = 3;
+const MACHINES: usize = 2;
 
 /// The size of a turn's input: the largest of the sheet's requests, and the usual one of a kept turn.
 const LARGE_BYTES: usize = 100_000;
--- a/review/harness-3/hosts.rs
+++ b/review/harness-3/hosts.rs
@@ -3,8 +3,10 @@
 
 use std::{
     fs::{self, File},
+    io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
+    os::unix::process::CommandExt,
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -19,6 +21,9 @@
 /// The time in which a process has to be ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
+/// The zones of the site, among which machines are spread.
+const ZONES: [&str; 3] = ["lis-a", "lis-b", "opo-c"];
+
 /// The memory of a machine, in units of 2^20 bytes.
 pub const MEMORY_MB: usize = 130;
 
@@ -60,6 +65,19 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Makes the process end if the thread that started it does, so that none is left behind a harness that is killed.
+fn end_with_parent() -> io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: the option takes the number of a signal.
+    let result = unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+    if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+}
+
 /// A machine with its process.
 pub struct Host {
     pub index: usize,
@@ -81,14 +99,15 @@
         folder: &Path,
         record: &Record,
     ) -> Host {
-        let name = format!("front-hall-a-{}", index + 1);
+        let zone = ZONES[index % ZONES.len()];
+        let name = format!("front-{zone}-{}", index / ZONES.len() + 1);
         let settings = folder.join(format!("{name}.toml"));
         let Ports { caller, ready, directory, control, internal, metrics } = ports;
         let seeds: Vec<String> =
             (0..machines.min(3)).map(|it| format!("\"{}:{control}\"", ip(it))).collect();
         let (seeds, ip) = (seeds.join(","), ip(index));
         let text = format!(
-            "node = \"{name}\"\nzone = \"hall-a\"\nseeds = [{seeds}]\nprocessor = 0.5\n\
+            "node = \"{name}\"\nzone = \"{zone}\"\nseeds = [{seeds}]\nprocessor = 0.5\n\
              target_speeds = true\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"agent\",\"stream\",\
              \"engine\",\"platform\"]\n\
@@ -113,7 +132,10 @@
     pub fn launch(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("the log can be written");
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        // SAFETY: `prctl` may be called between fork and exec.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .args(ARGUMENTS)
             .env("ROSETHREAD_SETTINGS", &self.settings)
             .stdin(Stdio::null())
--- a/review/harness-3/server.rs
+++ b/review/harness-3/server.rs
@@ -118,7 +118,7 @@
         let state =
             if self.0.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
         let value = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"hall-a\",\
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"lis-a\",\
              \"version\":\"v1\",\"capacity\":24,\"state\":\"{state}\",\"cold_left_ms\":0,\
              \"seq\":{sequence},\"born\":{born}}}"
         );
