--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -1,9 +1,9 @@
 //! The cases, and what they share.
 
 mod exit;
-mod full;
 mod large;
-mod memory;
+mod long;
+mod owners;
 mod silent;
 
 use std::{
@@ -23,10 +23,10 @@
 /// Returns the case with a name.
 pub fn find(name: &str) -> Option<fn(&Stage) -> Verdict> {
     match name {
-        "full" => Some(full::play),
         "exit" => Some(exit::play),
+        "long" => Some(long::play),
         "large" => Some(large::play),
-        "memory" => Some(memory::play),
+        "owners" => Some(owners::play),
         "silent" => Some(silent::play),
         _ => None,
     }
--- a/review/harness-3/cases/silent.rs
+++ b/review/harness-3/cases/silent.rs
@@ -75,7 +75,9 @@
     thread::sleep(CONTACT + Duration::from_millis(100));
     put_config(&store, 12, &with_route("portal-b"));
     let acknowledged = Instant::now();
-    record.line("operator: version 12 is acknowledged: /submit/ goes to portal-b, /looks/ is withdrawn");
+    record.line(
+        "operator: version 12 is acknowledged: /submit/ goes to portal-b, /looks/ is withdrawn",
+    );
     let (mut late, mut wrong) = (0, 0);
     let mut last = Duration::ZERO;
     while acknowledged.elapsed() < Duration::from_millis(7_000) {
@@ -84,7 +86,8 @@
             let (submit, _) = call(host, "/submit/1");
             let (look, _) = call(host, "/looks/1");
             let runs = old.runs();
-            let stale = [&submit, &look].into_iter().filter(|it| runs.iter().any(|run| run.id == **it));
+            let stale =
+                [&submit, &look].into_iter().filter(|it| runs.iter().any(|run| run.id == **it));
             let stale = stale.count();
             if CONFIG_APPLY < since {
                 late += 2;
--- a/review/harness-3/hosts.rs
+++ b/review/harness-3/hosts.rs
@@ -5,8 +5,8 @@
     fs::{self, File},
     io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    path::{Path, PathBuf},
     os::unix::process::CommandExt,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -25,7 +25,7 @@
 const ZONES: [&str; 3] = ["lis-a", "lis-b", "opo-c"];
 
 /// The memory of a machine, in units of 2^20 bytes.
-pub const MEMORY_MB: usize = 130;
+const MEMORY_MB: usize = 130;
 
 /// The ports of a machine; they are the same on all machines.
 #[derive(Clone, Copy, Debug)]
@@ -173,14 +173,6 @@
         false
     }
 
-    /// Returns the memory of the process that no file holds, in bytes; `None` once it has ended.
-    pub fn memory_bytes(&self) -> Option<usize> {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).ok()?;
-        let line = status.lines().find(|it| it.starts_with("RssAnon:"))?;
-        let kilobytes: usize = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kilobytes << 10)
-    }
-
     /// Kills the process, and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -189,11 +181,6 @@
             self.record.line(&format!("kill {}", self.name));
         }
     }
-
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|it| !matches!(it.try_wait(), Ok(None)))
-    }
 }
 
 impl Drop for Host {
--- a/review/harness-3/proxy.rs
+++ b/review/harness-3/proxy.rs
@@ -83,7 +83,8 @@
     /// Makes the open connections go silent that have carried nothing for `idle`, and returns how many of how many.
     pub fn silence(&self, idle: Duration) -> (usize, usize) {
         let links = self.links.lock().unwrap();
-        let open: Vec<_> = links.iter().filter(|it| !it.is_closed.load(Ordering::Relaxed)).collect();
+        let open: Vec<_> =
+            links.iter().filter(|it| !it.is_closed.load(Ordering::Relaxed)).collect();
         let (now, idle) = (self.now(), idle.as_millis() as u64);
         let quiet = open.iter().filter(|it| it.last.load(Ordering::Relaxed) + idle <= now);
         let count = quiet.map(|it| it.is_silent.store(true, Ordering::Relaxed)).count();
--- a/review/harness-3/server.rs
+++ b/review/harness-3/server.rs
@@ -115,8 +115,7 @@
     fn report(&self, store: &Store) {
         let Inner { name, service, address, sequence, born, .. } = &*self.0;
         let sequence = sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let state =
-            if self.0.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+        let state = if self.0.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
         let value = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"lis-a\",\
              \"version\":\"v1\",\"capacity\":24,\"state\":\"{state}\",\"cold_left_ms\":0,\
@@ -195,9 +194,8 @@
             return write_response(socket, "200 OK", &headers, plain_body(name, &id).as_bytes());
         }
         let framing = if behaviour.is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
-        let head = format!(
-            "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\n{framing}\r\n"
-        );
+        let head =
+            format!("HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\n{framing}\r\n");
         socket.write_all(head.as_bytes())?;
         let after: u64 = request.head.get("last-event-id").parse().unwrap_or(0);
         for number in after + 1..=behaviour.events {
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -78,11 +78,6 @@
         self.0.1.notify_all();
     }
 
-    /// Returns the bytes that are stored.
-    pub fn bytes(&self) -> usize {
-        self.0.0.lock().unwrap().bytes
-    }
-
     /// Returns the rejected appends, by status.
     pub fn rejected(&self) -> BTreeMap<u16, usize> {
         self.0.0.lock().unwrap().rejected.clone()
