A host reaches the store from its first response on

Callers saw turns that wait for a claim, and a new host that took two of three shards from an owner that served them.

Cause: the time of the store's last response is kept in milliseconds since the start, where zero stands for none. A response within the first millisecond counted as none, so the host took itself for cut off until the next read of the registry, 700 ms later, and yielded its shards to whoever asked. On the platform the store is 4 ms away; in tests over loopback sockets it is not.

--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -393,7 +393,9 @@
 
     /// Records that the store has just responded.
     pub(crate) fn record_store_response(&self) {
-        self.store_response_ms.store(self.now().as_millis() as u64, Ordering::Relaxed);
+        // Zero stands for no response, and the first one may come within a millisecond.
+        let now_ms = (self.now().as_millis() as u64).max(1);
+        self.store_response_ms.store(now_ms, Ordering::Relaxed);
     }
 
     /// Returns the time since the process start, which serves as the monotonic clock.
