--- a/crates/rosethread_entry/src/call/prepare.rs
+++ b/crates/rosethread_entry/src/call/prepare.rs
@@ -22,6 +22,7 @@
     quota::{self, QuotaToken},
     registry::Target,
     routes::{Route, Routes},
+    settlements,
     shards::shard_of,
 };
 
@@ -342,7 +343,7 @@
     // the owner decides.
     let grant = Grant::new(entry, shard, context, &request);
     match grants::request_grant(entry, shard, &request, &grant.asked_hosts, deadline).await {
-        Ok(Verdict::Granted { home, underway }) => {
+        Ok(Verdict::Granted { home, underway, .. }) => {
             Ok(Admission { grant: Some(grant), home, underway })
         }
         Ok(Verdict::Spent) => {
@@ -423,7 +424,7 @@
             failed,
             grant: self.request.grant,
         };
-        grants::report_settlement(&self.entry, self.shard, &self.asked_hosts, settlement);
+        settlements::report(&self.entry, self.shard, self.asked_hosts.get(), settlement);
     }
 
     fn visited(&self) -> MutexGuard<'_, VisitedTargets> {
--- a/crates/rosethread_entry/src/ended_grants.rs
+++ b/crates/rosethread_entry/src/ended_grants.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use crate::ledger::{GrantId, Settlement};
+use crate::ledger::{GrantId, HeldGrant, Settlement};
 
 /// How long an ended grant is remembered: longer than a request can wait while its shard is claimed
 /// and the records of the shard are read.
@@ -32,7 +32,16 @@
     oldest_first: VecDeque<(Duration, GrantId)>,
     grants: BTreeSet<GrantId>,
     /// Settlements that came before this host owned the shard, with the times of their arrival.
-    early: VecDeque<(Duration, Settlement)>,
+    early: VecDeque<(Duration, EarlySettlement)>,
+}
+
+/// A settlement that came before this host owned the shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EarlySettlement {
+    /// The settlement.
+    pub settlement: Settlement,
+    /// The grant, if its carrier holds it.
+    pub held: Option<HeldGrant>,
 }
 
 impl EndedGrants {
@@ -55,8 +64,8 @@
 
     /// Keeps a settlement for the case that this host becomes the shard's owner while the turn has an open
     /// grant.
-    pub fn keep_early(&mut self, settlement: Settlement, now: Duration) {
-        self.early.push_back((now, settlement));
+    pub fn keep_early(&mut self, settlement: Settlement, held: Option<HeldGrant>, now: Duration) {
+        self.early.push_back((now, EarlySettlement { settlement, held }));
         while self.early.front().is_some_and(|(time, _)| *time + EARLY_TTL <= now)
             || MAX_EARLY < self.early.len()
         {
@@ -64,10 +73,15 @@
         }
     }
 
-    /// Removes the settlement of a grant that came before this host owned the shard.
-    pub fn take_early(&mut self, grant: GrantId) -> Option<Settlement> {
-        let index = self.early.iter().position(|(_, it)| it.grant == grant)?;
-        self.early.remove(index).map(|(_, it)| it)
+    /// Removes the settlements that came before this host owned the shard and count now: those of the open
+    /// grants, and of grants that their carriers hold.
+    pub fn take_early(&mut self, open: &BTreeSet<GrantId>) -> Vec<EarlySettlement> {
+        let counts =
+            |it: &EarlySettlement| it.held.is_some() || open.contains(&it.settlement.grant);
+        let (taken, left): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.early).into_iter().partition(|(_, it)| counts(it));
+        self.early = left;
+        taken.into_iter().map(|(_, it)| it).collect()
     }
 
     /// Returns whether the grant is known to have ended.
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -1,4 +1,4 @@
-//! Requests tokens for a turn from the owner of its program's shard, and reports the turn's end.
+//! Requests tokens for a turn from the owner of its program's shard.
 
 use std::{
     collections::{BTreeSet, VecDeque},
@@ -6,23 +6,21 @@
     time::Duration,
 };
 
-use futures::future::join_all;
-use rosethread_types::{NodeName, ProgramLabel, Reason, Refusal, Tokens};
-use slog::{debug, info, warn};
+use rosethread_types::{Incarnation, NodeName, ProgramLabel, Reason, Refusal, Tokens};
+use slog::info;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
-    entry::{Entry, Phase},
-    ledger::{GrantRequest, Ledger, Settlement, Verdict},
-    peers::{PeerError, PeerReply, PeerRequest},
-    shards::{self, NotOwned, Shard, Urgency, candidates_for, next_owner, responsible_for},
+    entry::Entry,
+    ledger::{GrantRequest, Ledger, Verdict},
+    peers::{PeerReply, PeerRequest},
+    shards::{self, NotOwned, Shard, Urgency, candidates_for},
 };
 
 /// The maximum time to wait for an owner's decision before the turn is refused.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// The delay before a request or a settlement is sent again; for settlements it grows with each
-/// attempt.
+/// The delay before a request is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
 /// The maximum time that a turn waits for the record of a higher ceiling.
@@ -37,18 +35,55 @@
 /// The retry delay returned to the caller when no owner could decide.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// The maximum number of attempts to send a settlement to a host.
-const SETTLE_ATTEMPTS: u32 = 4;
-
 /// The hosts that were asked for one turn's tokens. Each may still grant them, even if its reply
 /// was lost, so each has to receive the settlement.
 #[derive(Debug, Default)]
-pub(crate) struct AskedHosts(Mutex<BTreeSet<NodeName>>);
+pub(crate) struct AskedHosts(Mutex<Asked>);
+
+/// See [`AskedHosts`].
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Asked {
+    pub(crate) hosts: BTreeSet<NodeName>,
+    /// What a later owner needs to know to settle a stored turn.
+    pub(crate) granted: Option<Granted>,
+}
+
+/// The tokens that an owner has reserved for one grant alone.
+#[derive(Clone, Debug)]
+pub(crate) struct Granted {
+    pub(crate) owner: NodeName,
+    /// The owner's process, if it was known.
+    pub(crate) run: Option<Incarnation>,
+    pub(crate) tokens: Tokens,
+    /// The epoch of the owner's claim.
+    pub(crate) epoch: u64,
+}
 
 impl AskedHosts {
-    fn lock(&self) -> MutexGuard<'_, BTreeSet<NodeName>> {
+    fn lock(&self) -> MutexGuard<'_, Asked> {
         self.0.lock().expect("no code panics while it holds the asked hosts")
     }
+
+    pub(crate) fn get(&self) -> Asked {
+        self.lock().clone()
+    }
+
+    /// Records the verdict of the host `owner`.
+    fn record_verdict(
+        &self,
+        entry: &Entry,
+        owner: &NodeName,
+        ask: &GrantRequest,
+        verdict: &Verdict,
+    ) {
+        if let Verdict::Granted { reserved: Some(epoch), .. } = verdict
+            && ask.is_stored
+        {
+            let run = entry.view().get(owner).map(|it| it.incarnation);
+            let granted = Granted { owner: owner.clone(), run, tokens: ask.tokens, epoch: *epoch };
+            self.lock().granted = Some(granted);
+        }
+    }
 }
 
 /// Requests a grant from the shard's owner, which may be this node, and retries until `deadline`.
@@ -114,9 +149,10 @@
         if !tried.insert(owner.clone()) {
             continue;
         }
-        asked.lock().insert(owner.clone());
+        asked.lock().hosts.insert(owner.clone());
         match ask_owner(entry, shard, &owner, ask).await {
             Ok(verdict) => {
+                asked.record_verdict(entry, &owner, ask, &verdict);
                 entry.shards.set_owner(shard, Some(owner));
                 return Ok(verdict);
             }
@@ -220,7 +256,7 @@
     let (queued, receiver) = shard.queue(|it| it.raise_ceiling(&ask.program, tokens));
     match timeout(RECORD_TIMEOUT, receiver).await {
         Ok(Ok(true)) => {
-            shard.ledger().confirm_ceiling(&queued);
+            shard.confirm_ceiling(&queued);
             Ok(())
         }
         Ok(Ok(false)) => Err("the shard has another owner".to_owned()),
@@ -230,7 +266,7 @@
 }
 
 /// Records in the background the ceiling that `plan` returns, if it returns one.
-fn record_ceiling(
+pub(crate) fn record_ceiling(
     entry: &Entry,
     shard: &Arc<Shard>,
     program: &ProgramLabel,
@@ -244,113 +280,8 @@
     let shard = shard.clone();
     entry.tasks.spawn(async move {
         match receiver.await {
-            Ok(true) => shard.ledger().confirm_ceiling(&queued),
+            Ok(true) => shard.confirm_ceiling(&queued),
             Ok(false) | Err(_) => shard.ledger().cancel_ceiling(&queued),
         }
     });
 }
-
-/// Settles a turn's grant, as the owner or as a host that was asked for its tokens.
-///
-/// Returns the next owner if this host is stopping and no longer has the accounts.
-pub(crate) fn settle(entry: &Entry, index: u32, settlement: &Settlement) -> Option<NodeName> {
-    let now = entry.now();
-    let (is_new, was_open) = {
-        let mut ended = entry.shards.ended();
-        let ended = ended.entry(index).or_default();
-        let is_new = ended.insert(settlement.grant, now);
-        // A settlement that is sent again, since its reply was lost, counts once.
-        let shard = entry.shards.get(index).filter(|_| is_new);
-        let was_open = shard.as_ref().is_some_and(|it| it.ledger().settle(settlement, now));
-        match &shard {
-            Some(shard) => shard.settled.notify_waiters(),
-            None if is_new => ended.keep_early(settlement.clone(), now),
-            None => (),
-        }
-        if let Some(shard) = shard.filter(|it| was_open && it.has_writer()) {
-            let program = &settlement.program;
-            record_ceiling(entry, &shard, program, Urgency::Soon, |it| {
-                it.plan_settled_ceiling(program)
-            });
-        }
-        (is_new, was_open)
-    };
-    if !was_open && Phase::Serving < entry.phase() {
-        let next = entry.shards.last_owner(index).or_else(|| next_owner(entry, index));
-        return next.filter(|it| *it != entry.settings.node);
-    }
-    // A turn that was refused has no open grant and has used nothing, so it is not logged.
-    if is_new && !was_open && settlement.used != 0 {
-        info!(entry.logger, "grants: a turn ended under another owner"; "shard" => index,
-            "program" => %settlement.program, "id" => %settlement.request,
-            "used" => settlement.used);
-    }
-    None
-}
-
-/// Sends a settlement to the owner and to all hosts that were asked, in the background.
-///
-/// An owner that never receives it counts the grant as spent in full.
-pub(crate) fn report_settlement(
-    entry: &Arc<Entry>,
-    shard: u32,
-    asked: &AskedHosts,
-    settlement: Settlement,
-) {
-    let (entry, mut hosts) = (entry.clone(), asked.lock().clone());
-    entry.tasks.clone().spawn(async move {
-        let mut notified = BTreeSet::new();
-        for attempt in 0..SETTLE_ATTEMPTS {
-            // The shard may have changed its owner since the last attempt.
-            let last = entry.shards.last_owner(shard).filter(|it| entry.view().is_running(it));
-            hosts.extend(last.or_else(|| responsible_for(&entry, shard)));
-            let remaining: Vec<NodeName> = hosts.difference(&notified).cloned().collect();
-            let results = join_all(
-                remaining.iter().map(|it| send_settlement(&entry, shard, it, &settlement)),
-            );
-            let mut is_done = true;
-            for (host, result) in remaining.iter().zip(results.await) {
-                match result {
-                    Ok(next) => {
-                        notified.insert(host.clone());
-                        is_done &= next.as_ref().is_none_or(|it| notified.contains(it));
-                        hosts.extend(next);
-                    }
-                    Err(error) if attempt + 1 == SETTLE_ATTEMPTS => {
-                        warn!(entry.logger, "grants: could not send a settlement to a host";
-                            "program" => %settlement.program, "id" => %settlement.request,
-                            "host" => %host, "error" => %error);
-                    }
-                    Err(_) => is_done = false,
-                }
-            }
-            if is_done {
-                return;
-            }
-            sleep(RETRY_DELAY * (attempt + 1)).await;
-        }
-    });
-}
-
-/// Sends a settlement to one host, and returns the one that has taken over from it, if it says so; a host
-/// that is no longer known does not need it.
-async fn send_settlement(
-    entry: &Entry,
-    shard: u32,
-    host: &NodeName,
-    settlement: &Settlement,
-) -> Result<Option<NodeName>, PeerError> {
-    if *host == entry.settings.node {
-        return Ok(settle(entry, shard, settlement));
-    }
-    let Some(contact) = entry.view().get(host).map(|it| it.contact.peer) else {
-        debug!(entry.logger, "grants: skipped a settlement for a host that is no longer known";
-            "host" => %host, "program" => %settlement.program, "id" => %settlement.request);
-        return Ok(None);
-    };
-    let request = PeerRequest::Settle { shard, settlement: settlement.clone() };
-    match entry.peers.request(contact, request).await? {
-        PeerReply::OwnedBy(next) => Ok(Some(next)),
-        _ => Ok(None),
-    }
-}
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -29,7 +29,9 @@
 use rosethread_types::{ProgramLabel, RequestId, SessionLabel, TargetName, Tokens};
 use serde::{Deserialize, Serialize};
 
-pub use messages::{GrantId, GrantRequest, LedgerRecord, Settlement, Verdict};
+pub use messages::{
+    GrantId, GrantRequest, HeldGrant, HeldState, LedgerRecord, Settlement, Verdict,
+};
 
 /// The first ceiling that is recorded for a program is its budget divided by this, so that most of its
 /// turns do not wait for the log, and run while that is unavailable.
@@ -57,6 +59,49 @@
     /// When this owner granted it, or got it from an earlier one.
     #[serde(skip)]
     since: Duration,
+    /// Transferred without the log, an ended turn counts as under way until its carrier reports it again.
+    #[serde(skip)]
+    state: TurnState,
+}
+
+impl OpenGrant {
+    fn new(tokens: Tokens, grant: GrantId, since: Duration) -> OpenGrant {
+        OpenGrant { tokens, grant, since, state: TurnState::UnderWay }
+    }
+
+    /// Returns the tokens that the turn may use as far as the log tells.
+    fn reserved(&self) -> Tokens {
+        self.tokens.max(self.settled())
+    }
+
+    /// Returns the tokens that the turn may use, or has used if it has ended.
+    fn settled(&self) -> Tokens {
+        match self.state {
+            TurnState::UnderWay | TurnState::Lost => self.tokens,
+            TurnState::Ended { used, .. } => used,
+        }
+    }
+
+    fn is_under_way(&self) -> bool {
+        self.state == TurnState::UnderWay
+    }
+}
+
+/// What has become of a granted turn.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum TurnState {
+    #[default]
+    UnderWay,
+    /// No turn takes that long: its carrier is lost or cut off. Its tokens count as spent unless it reports
+    /// the end after all.
+    Lost,
+    /// The turn has ended, and its settlement is on its way to the log.
+    Ended {
+        /// The tokens that it used.
+        used: Tokens,
+        /// The number of the queued ceiling that is recorded with the settlement.
+        number: Option<u64>,
+    },
 }
 
 /// A ceiling whose records are to be appended to the log.
@@ -76,8 +121,11 @@
     spent: Tokens,
     /// The tokens that earlier owners may have granted beyond `spent`.
     uncertain: Tokens,
-    /// The grants of turns in progress, by call.
+    /// The grants of turns in progress, and of those whose settlement the log does not have yet, by call.
     open: BTreeMap<RequestId, OpenGrant>,
+    /// The held grants whose settlements are in the log, so that none counts twice.
+    #[serde(skip)]
+    recorded: BTreeSet<GrantId>,
     /// The tokens that may be granted in total: as recorded, or the fraction that needs no record.
     ceiling: Tokens,
     /// Whether an earlier owner may have granted one turn that is in none of these counts.
@@ -120,7 +168,7 @@
 
 impl Account {
     fn open_tokens(&self) -> Tokens {
-        self.open.values().map(|it| it.tokens).sum()
+        self.open.values().map(OpenGrant::reserved).sum()
     }
 
     /// Counts the turns in progress as spent by an earlier owner.
@@ -129,10 +177,63 @@
         self.open.clear();
     }
 
+    /// Returns the tokens that may be used as far as the log tells: settlements that it does not have yet
+    /// return nothing.
     fn committed(&self) -> Tokens {
         self.spent + self.uncertain + self.open_tokens()
     }
 
+    /// Returns the tokens that may be used, where turns that have ended count with what they used.
+    fn settled(&self) -> Tokens {
+        self.spent + self.uncertain + self.open.values().map(OpenGrant::settled).sum::<Tokens>()
+    }
+
+    /// Returns the tokens that count as spent, with those of lost turns, and of turns whose settlement the
+    /// log does not have yet.
+    fn used(&self) -> Tokens {
+        let ended = self.open.values().filter(|it| !it.is_under_way());
+        self.spent + ended.map(OpenGrant::settled).sum::<Tokens>()
+    }
+
+    /// Returns the tokens that the log's record of settled turns states, once it is queued.
+    fn recorded_spent(&self) -> Tokens {
+        let is_ended = |it: &&OpenGrant| matches!(it.state, TurnState::Ended { .. });
+        self.spent + self.open.values().filter(is_ended).map(OpenGrant::settled).sum::<Tokens>()
+    }
+
+    /// Returns whether the settlement of a turn that has ended is not queued for the log yet.
+    fn has_unqueued_end(&self) -> bool {
+        self.open.values().any(|it| matches!(it.state, TurnState::Ended { number: None, .. }))
+    }
+
+    /// Adds the turns that have ended to the records of the queued ceiling `number`, and returns their
+    /// grants.
+    fn attach_ended(&mut self, number: u64) -> Vec<GrantId> {
+        let mut grants = Vec::new();
+        for open in self.open.values_mut() {
+            if let TurnState::Ended { number: queued, .. } = &mut open.state {
+                queued.get_or_insert(number);
+                grants.push(open.grant);
+            }
+        }
+        grants
+    }
+
+    /// Settles the turns whose settlements are recorded with the queued ceiling `number`, or were before.
+    fn settle_recorded(&mut self, number: u64) {
+        self.open.retain(|_, open| {
+            let TurnState::Ended { used, number: Some(queued) } = open.state else {
+                return true;
+            };
+            if number < queued {
+                return true;
+            }
+            self.spent += used;
+            self.recorded.insert(open.grant);
+            false
+        });
+    }
+
     /// Returns the tokens that may be committed in total when a turn requests `turn_tokens`.
     ///
     /// Uncertain tokens may never have been used, so on their account the total may exceed the
@@ -150,6 +251,23 @@
         (committed + ahead).min(self.budget.max(committed))
     }
 
+    /// Remembers the target that ran a turn, and forgets the one that failed it.
+    fn record_end(&mut self, settlement: &Settlement) {
+        self.is_underway |= settlement.used != 0;
+        if let Some(failed) = &settlement.failed {
+            self.homes.retain(|_, it| it != failed);
+            self.last_home = self.last_home.take().filter(|it| it != failed);
+        }
+        if let Some(target) = &settlement.target
+            && settlement.target != settlement.failed
+        {
+            if self.homes.len() < MAX_SESSIONS {
+                self.homes.insert(settlement.session.clone(), target.clone());
+            }
+            self.last_home = Some(target.clone());
+        }
+    }
+
     /// Returns the ceiling as the log will have it.
     fn planned_ceiling(&self) -> Tokens {
         self.pending_ceiling.unwrap_or(0).max(self.ceiling)
@@ -213,6 +331,10 @@
     /// was transferred.
     #[serde(skip)]
     settled_by: Option<Duration>,
+    /// The epoch of the claim from which the accounts come; unknown in a ledger that was transferred, which
+    /// does not know what the log has.
+    #[serde(skip)]
+    epoch: Option<u64>,
 }
 
 impl Ledger {
@@ -239,8 +361,9 @@
                 account.uncertain = account.ceiling.saturating_sub(account.spent);
                 account.is_underway = true;
             }
-            LedgerRecord::Settled { program, budget, tokens } => {
+            LedgerRecord::Settled { program, budget, tokens, ended } => {
                 let account = self.accounts.entry(program.clone()).or_default();
+                account.recorded.extend(ended);
                 account.budget = *budget;
                 account.spent = *tokens;
                 account.ceiling = *tokens;
@@ -251,7 +374,7 @@
             LedgerRecord::Open { program, request, grant, tokens } => {
                 let account = self.accounts.entry(program.clone()).or_default();
                 account.uncertain = account.uncertain.saturating_sub(*tokens);
-                let open = OpenGrant { tokens: *tokens, grant: *grant, since: Duration::ZERO };
+                let open = OpenGrant::new(*tokens, *grant, Duration::ZERO);
                 account.open.insert(request.clone(), open);
             }
         }
@@ -283,19 +406,22 @@
         self.settled_by = Some(settled_by);
     }
 
+    /// Sets the epoch of the claim from which the accounts come.
+    pub fn set_epoch(&mut self, epoch: u64) {
+        self.epoch = Some(epoch);
+    }
+
     /// Counts the turns in progress as spent that were granted longer ago than a turn takes: the host that
-    /// carried them is lost, and nobody settles them.
+    /// carried them is lost, and nobody settles them, or it is cut off and does so late.
     ///
     /// Returns their number.
     pub fn expire_grants(&mut self, now: Duration, longest_turn: Duration) -> usize {
         let mut count = 0;
-        for account in self.accounts.values_mut() {
-            let is_lost = |it: &OpenGrant| it.since + longest_turn <= now;
-            let lost = account.open.values().filter(|it| is_lost(it));
-            account.spent += lost.map(|it| it.tokens).sum::<Tokens>();
-            let before = account.open.len();
-            account.open.retain(|_, it| !is_lost(it));
-            count += before - account.open.len();
+        for open in self.accounts.values_mut().flat_map(|it| it.open.values_mut()) {
+            if open.is_under_way() && open.since + longest_turn <= now {
+                open.state = TurnState::Lost;
+                count += 1;
+            }
         }
         count
     }
@@ -303,10 +429,10 @@
     /// Returns the balance of a program's account; all zero for a program without one.
     pub fn balance(&self, program: &ProgramLabel) -> Balance {
         let balance = |it: &Account| Balance {
-            spent: it.spent,
+            spent: it.used(),
             uncertain: it.uncertain,
-            open: it.open_tokens(),
-            turns: it.open.len(),
+            open: it.settled() - it.used() - it.uncertain,
+            turns: it.open.values().filter(|it| it.is_under_way()).count(),
             ceiling: it.ceiling,
         };
         self.accounts.get(program).map(balance).unwrap_or_default()
@@ -360,21 +486,27 @@
         let home = account.homes.get(&ask.session).or(account.last_home.as_ref());
         let home = home.filter(is_healthy).cloned();
         let underway = account.is_underway;
-        if let Some(open) = account.open.get_mut(&ask.request) {
-            open.grant = ask.grant;
-            return Verdict::Granted { home, underway };
+        let open = account.open.get_mut(&ask.request);
+        if let Some(open) = open.filter(|it| !matches!(it.state, TurnState::Ended { .. })) {
+            // A retry of the call shares the tokens with the attempt before.
+            let reserved = self.epoch.filter(|_| open.grant == ask.grant);
+            *open = OpenGrant::new(open.tokens, ask.grant, now);
+            return Verdict::Granted { home, underway, reserved };
         }
-        let needed = account.committed() + ask.tokens;
+        let needed = account.settled() + ask.tokens;
         if account.limit(ask.tokens) < needed {
             // Turns in progress may use less than is reserved, so only settled tokens are certain, and those
             // of earlier owners once their turns have ended.
             let is_settled = self.settled_by.is_some_and(|it| it <= now);
-            let is_certain = account.budget < account.spent + ask.tokens
-                || is_settled
-                    && account.limit(ask.tokens) < account.spent + account.uncertain + ask.tokens;
+            let used = account.used();
+            let is_certain = account.budget < used + ask.tokens
+                || is_settled && account.limit(ask.tokens) < used + account.uncertain + ask.tokens;
             return if is_certain { Verdict::Spent } else { Verdict::Uncertain };
         }
-        if account.ceiling < needed {
+        // What a turn returns is granted again once the log has its settlement: until then its carrier may
+        // report it to a later owner, which then returns it, too.
+        let is_returning = account.open.contains_key(&ask.request);
+        if account.ceiling < account.committed() + ask.tokens || is_returning {
             let ceiling = if ask.is_stored {
                 account.stored_ceiling(needed)
             } else {
@@ -382,9 +514,8 @@
             };
             return Verdict::Record(ceiling);
         }
-        let open = OpenGrant { tokens: ask.tokens, grant: ask.grant, since: now };
-        account.open.insert(ask.request.clone(), open);
-        Verdict::Granted { home, underway }
+        account.open.insert(ask.request.clone(), OpenGrant::new(ask.tokens, ask.grant, now));
+        Verdict::Granted { home, underway, reserved: self.epoch }
     }
 
     /// Returns a ceiling to record now, so that the program's next turn need not wait for the log. The
@@ -405,9 +536,11 @@
     /// Returns the ceiling to record after a turn of the program has ended, if its turns are stored: it
     /// covers the next turn, and takes back what turns did not use.
     pub fn plan_settled_ceiling(&self, program: &ProgramLabel) -> Option<Tokens> {
-        let account = self.accounts.get(program).filter(|it| it.is_stored)?;
-        let tokens = account.stored_ceiling(account.committed());
-        (tokens != account.planned_ceiling()).then_some(tokens)
+        let account = self.accounts.get(program)?;
+        let planned = account.planned_ceiling();
+        let tokens =
+            if account.is_stored { account.stored_ceiling(account.settled()) } else { planned };
+        (tokens != planned || account.has_unqueued_end()).then_some(tokens)
     }
 
     /// Returns a record of the spent tokens, once, for a program whose budget is spent.
@@ -448,13 +581,15 @@
         if let Some(account) = self.accounts.get_mut(program) {
             // A ceiling is recorded for a turn that has just been requested or has just ended.
             account.last_recorded = account.last_used;
-            queued.tokens = tokens.max(account.committed());
+            queued.tokens = tokens.max(account.settled());
             account.queue_ceiling(queued.tokens);
             queued.number = account.queued;
-            if account.is_stored {
+            let ended = account.attach_ended(account.queued);
+            if account.is_stored || !ended.is_empty() {
                 // The record of a ceiling alone doesn't replace a higher one.
-                let (budget, tokens) = (account.budget, account.spent);
-                settled = Some(LedgerRecord::Settled { program: program.clone(), budget, tokens });
+                let (budget, tokens) = (account.budget, account.recorded_spent());
+                let program = program.clone();
+                settled = Some(LedgerRecord::Settled { program, budget, tokens, ended });
             }
         }
         let ceiling = self.ceiling_record(program, queued.tokens);
@@ -500,11 +635,14 @@
         LedgerRecord::Ceiling { program: program.clone(), budget, spent, tokens }
     }
 
-    /// Raises a program's ceiling after its records have reached the log, unless a lower one has been
-    /// queued since.
+    /// Settles a program's turns whose settlements have reached the log with the records of a ceiling, and
+    /// raises the ceiling unless a lower one has been queued since.
     pub fn confirm_ceiling(&mut self, queued: &QueuedCeiling) {
-        let account = self.accounts.get_mut(&queued.program);
-        if let Some(account) = account.filter(|it| it.lowered <= queued.number) {
+        let Some(account) = self.accounts.get_mut(&queued.program) else {
+            return;
+        };
+        account.settle_recorded(queued.number);
+        if account.lowered <= queued.number {
             account.ceiling = account.ceiling.max(queued.tokens);
             account.pending_ceiling = account.pending_ceiling.filter(|it| account.ceiling < *it);
         }
@@ -527,7 +665,8 @@
             return false;
         };
         account.last_used = now;
-        let Some(open) = account.open.get(&settlement.request) else {
+        let open = account.open.get(&settlement.request);
+        let Some(open) = open.filter(|it| !matches!(it.state, TurnState::Ended { .. })) else {
             return false;
         };
         // A retry of the call that has started since then keeps the reserved tokens.
@@ -535,20 +674,74 @@
             account.open.remove(&settlement.request);
         }
         account.spent += settlement.used;
-        account.is_underway |= settlement.used != 0;
-        if let Some(failed) = &settlement.failed {
-            account.homes.retain(|_, it| it != failed);
-            account.last_home = account.last_home.take().filter(|it| it != failed);
+        account.record_end(settlement);
+        !self.is_closed
+    }
+
+    /// Settles the turn of a held grant: what it used counts, and the rest goes back to the program once the
+    /// log has the settlement. The records are those of the ceiling to be queued next.
+    ///
+    /// A turn that an earlier owner granted is among the uncertain tokens here, unless a record of the log
+    /// says that it was settled.
+    pub fn settle_held(
+        &mut self,
+        settlement: &Settlement,
+        held: HeldGrant,
+        now: Duration,
+    ) -> HeldState {
+        if self.is_closed {
+            return HeldState::NotHere;
         }
-        if let Some(target) = &settlement.target
-            && settlement.target != settlement.failed
-        {
-            if account.homes.len() < MAX_SESSIONS {
-                account.homes.insert(settlement.session.clone(), target.clone());
+        let is_inherited = self.epoch.is_some_and(|it| held.epoch < it);
+        let Some(account) = self.accounts.get_mut(&settlement.program) else {
+            // The log has nothing of the program, so the turn is the one that needs no record.
+            return if is_inherited { HeldState::Recorded } else { HeldState::NotHere };
+        };
+        let ended = TurnState::Ended { used: settlement.used, number: None };
+        match account.open.get_mut(&settlement.request) {
+            Some(open) if open.grant == settlement.grant => {
+                if matches!(open.state, TurnState::Ended { .. }) {
+                    return HeldState::Pending;
+                }
+                open.state = ended;
+            }
+            _ if account.recorded.contains(&settlement.grant) => return HeldState::Recorded,
+            // A retry of the call that has started since then keeps the reserved tokens.
+            Some(_) => {
+                account.spent += settlement.used;
+                account.recorded.insert(settlement.grant);
+                return HeldState::Recorded;
+            }
+            None if is_inherited => {
+                account.uncertain = account.uncertain.saturating_sub(held.tokens);
+                let open = OpenGrant::new(held.tokens, settlement.grant, now);
+                account.open.insert(settlement.request.clone(), OpenGrant { state: ended, ..open });
+                // The program may not have asked this owner for a turn yet.
+                account.is_stored = true;
+                account.turn_tokens = account.turn_tokens.max(held.tokens);
             }
-            account.last_home = Some(target.clone());
+            None => return HeldState::NotHere,
         }
-        !self.is_closed
+        account.last_used = now;
+        account.record_end(settlement);
+        self.update_failures(settlement, now);
+        if is_inherited { HeldState::Inherited } else { HeldState::Pending }
+    }
+
+    /// Returns the programs with turns that have ended and whose settlements are not queued for the log yet.
+    pub fn unqueued_ends(&self) -> Vec<ProgramLabel> {
+        let accounts = self.accounts.iter().filter(|(_, it)| it.has_unqueued_end());
+        accounts.map(|(program, _)| program.clone()).collect()
+    }
+
+    /// Returns what has become of a settlement that was pending.
+    pub fn held_state(&self, settlement: &Settlement) -> HeldState {
+        if self.is_closed {
+            return HeldState::NotHere;
+        }
+        let account = self.accounts.get(&settlement.program);
+        let is_recorded = account.is_none_or(|it| it.recorded.contains(&settlement.grant));
+        if is_recorded { HeldState::Recorded } else { HeldState::Pending }
     }
 
     /// Resets the failure count of the target that ran a turn, and increments that of the target
@@ -606,6 +799,7 @@
                 program: program.clone(),
                 budget: it.budget,
                 tokens: it.spent,
+                ended: Vec::new(),
             };
             let has_uncertain = it.spent < it.committed();
             let uncertain = has_uncertain.then(|| self.ceiling_record(program, it.committed()));
--- a/crates/rosethread_entry/src/ledger/messages.rs
+++ b/crates/rosethread_entry/src/ledger/messages.rs
@@ -39,6 +39,10 @@
         home: Option<TargetName>,
         /// Whether a turn of the program has already returned tokens to the caller.
         underway: bool,
+        /// The epoch of the claim under which the tokens are reserved for this grant alone, if the owner
+        /// tells it. Between hosts it follows the reply, where those of the last release don't look.
+        #[serde(skip)]
+        reserved: Option<u64>,
     },
     /// A ceiling of this many tokens has to be recorded in the log first.
     Record(Tokens),
@@ -70,6 +74,31 @@
     pub grant: GrantId,
 }
 
+/// A grant as the host knows it that carries the turn: with it, an owner that has claimed the shard since
+/// then can settle the turn. See "Turns whose owner is lost" in `docs/design/budgets.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldGrant {
+    /// The tokens reserved for the turn.
+    pub tokens: Tokens,
+    /// The epoch of the claim under which they were reserved.
+    pub epoch: u64,
+    /// Whether the carrier reports the settlement until an owner has recorded it; otherwise it is ending.
+    pub is_kept: bool,
+}
+
+/// What has become of the settlement of a [`HeldGrant`] at a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeldState {
+    /// The log has it, or doesn't need it.
+    Recorded,
+    /// It counts here once the log has it.
+    Pending,
+    /// As [`Pending`](HeldState::Pending), from now on; an earlier owner granted the turn.
+    Inherited,
+    /// It doesn't count here.
+    NotHere,
+}
+
 /// A record in a shard's partition of the log, from which a new owner rebuilds the accounts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LedgerRecord {
@@ -101,6 +130,10 @@
         budget: Tokens,
         /// The spent tokens.
         tokens: Tokens,
+        /// Held grants that are settled for good: the spent tokens contain what their turns used. In the log
+        /// they follow the record, where hosts of the last release don't look.
+        #[serde(skip)]
+        ended: Vec<GrantId>,
     },
     /// The owner has closed its ledger and recorded the balance of every program.
     Released {
@@ -135,6 +168,26 @@
 }
 
 impl LedgerRecord {
+    /// Encodes the record for the log.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let bytes = postcard::to_stdvec(self)?;
+        match self {
+            LedgerRecord::Settled { ended, .. } if !ended.is_empty() => {
+                postcard::to_extend(ended, bytes)
+            }
+            _ => Ok(bytes),
+        }
+    }
+
+    /// Decodes a record of the log.
+    pub fn decode(bytes: &[u8]) -> Result<LedgerRecord, postcard::Error> {
+        let (mut record, rest): (LedgerRecord, &[u8]) = postcard::take_from_bytes(bytes)?;
+        if let (LedgerRecord::Settled { ended, .. }, false) = (&mut record, rest.is_empty()) {
+            *ended = postcard::from_bytes(rest)?;
+        }
+        Ok(record)
+    }
+
     /// Returns the program whose account the record is about, if it is about one.
     pub(crate) fn program(&self) -> Option<&ProgramLabel> {
         match self {
--- a/crates/rosethread_entry/src/lib.rs
+++ b/crates/rosethread_entry/src/lib.rs
@@ -44,6 +44,7 @@
 mod routes;
 mod sequence;
 mod settings;
+mod settlements;
 mod shards;
 mod software;
 mod stream;
@@ -54,12 +55,13 @@
 pub use chains::{ChainPlan, Lifetimes, Now};
 pub use connections::{CallerConnection, ExchangeStage};
 pub use directory::{DirectoryResponse, list_hosts};
-pub use ended_grants::EndedGrants;
+pub use ended_grants::{EarlySettlement, EndedGrants};
 pub use entry::{Entry, EntryDependencies, Phase};
 pub use events::{Event, EventBuffer, EventTooLarge, NoEvent};
 pub use fingerprint::Fingerprint;
 pub use ledger::{
-    Balance, GrantId, GrantRequest, Ledger, LedgerRecord, QueuedCeiling, Settlement, Verdict,
+    Balance, GrantId, GrantRequest, HeldGrant, HeldState, Ledger, LedgerRecord, QueuedCeiling,
+    Settlement, Verdict,
 };
 pub use life::{Draining, EntryNode, Serving, Stopped};
 pub use memory::{BodyMemory, BodyReservation, MemoryPool, Reservation};
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -54,6 +54,10 @@
     /// Number of turns, in progress as another host released their shard, that ended before this host
     /// claimed it.
     pub early_settlements: IntCounter,
+    /// Number of turns granted by earlier owners of a shard that this host settled after their loss.
+    pub inherited_settlements: IntCounter,
+    /// Number of ended turns of this host whose settlement the log does not have yet.
+    pub held_settlements: IntGauge,
     /// Number of shards that this host owns.
     pub shards: IntGauge,
     /// Number of programs in the ledgers of the owned shards.
@@ -182,6 +186,14 @@
                 "rosethread_entry_early_settlements_total",
                 "Turns that ended between their shard's release and its claim by this host.",
             ),
+            inherited_settlements: counter(
+                "rosethread_entry_inherited_settlements_total",
+                "Turns granted by an earlier owner that this host settled as the next one.",
+            ),
+            held_settlements: gauge(
+                "rosethread_entry_held_settlements",
+                "Ended turns of this host whose settlement the log does not have yet.",
+            ),
             shards: gauge("rosethread_entry_shards", "Shards owned at present."),
             programs: gauge("rosethread_entry_programs", "Programs known at present."),
             turn_bytes: gauge("rosethread_entry_turn_bytes", "Bytes of kept turns."),
--- a/crates/rosethread_entry/src/peers.rs
+++ b/crates/rosethread_entry/src/peers.rs
@@ -20,7 +20,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::{
-    ledger::{GrantRequest, Ledger, Settlement, Verdict},
+    ledger::{GrantRequest, HeldGrant, Ledger, Settlement, Verdict},
     paths::{NoPath, PathRequest, Probe},
     quota::{QuotaAsk, QuotaReply},
     registry::Target,
@@ -65,6 +65,10 @@
         shard: u32,
         /// How it ended.
         settlement: Settlement,
+        /// The grant, if the sender holds it. It follows the request, where nodes of the last release
+        /// don't look.
+        #[serde(skip)]
+        held: Option<HeldGrant>,
     },
     /// Return the transcript up to and including a turn: the inputs and outputs of the chain of
     /// turns that it continues.
@@ -132,12 +136,13 @@
 }
 
 impl PeerRequest {
-    /// Encodes the request as number `id`. Whether a turn is stored follows it, where nodes of the last
-    /// release don't look.
+    /// Encodes the request as number `id`. Whether a turn is stored, or what its sender holds, follows it,
+    /// where nodes of the last release don't look.
     pub fn encode(&self, id: u64) -> Result<Vec<u8>, postcard::Error> {
         let frame = postcard::to_stdvec(&(id, self))?;
         match self {
             PeerRequest::Ask { ask, .. } if ask.is_stored => postcard::to_extend(&true, frame),
+            PeerRequest::Settle { held: Some(held), .. } => postcard::to_extend(held, frame),
             _ => Ok(frame),
         }
     }
@@ -145,8 +150,14 @@
     /// Decodes a request, without its number.
     pub fn decode(bytes: &[u8]) -> Result<PeerRequest, postcard::Error> {
         let (mut request, rest): (PeerRequest, &[u8]) = postcard::take_from_bytes(bytes)?;
-        if let (PeerRequest::Ask { ask, .. }, false) = (&mut request, rest.is_empty()) {
-            ask.is_stored = postcard::take_from_bytes(rest)?.0;
+        match &mut request {
+            PeerRequest::Ask { ask, .. } if !rest.is_empty() => {
+                ask.is_stored = postcard::take_from_bytes(rest)?.0;
+            }
+            PeerRequest::Settle { held, .. } if !rest.is_empty() => {
+                *held = Some(postcard::take_from_bytes(rest)?.0);
+            }
+            _ => (),
         }
         Ok(request)
     }
@@ -207,8 +218,8 @@
 }
 
 impl PeerReply {
-    /// Encodes the reply to request `id`. The versions of targets' software, or who may use the
-    /// routes, follow it, where nodes of the last release don't look.
+    /// Encodes the reply to request `id`. The versions of targets' software, who may use the routes, or
+    /// under which claim tokens are reserved follow it, where nodes of the last release don't look.
     pub fn encode(&self, id: u64) -> Result<Vec<u8>, postcard::Error> {
         let frame = postcard::to_stdvec(&(id, self))?;
         match self {
@@ -220,6 +231,9 @@
             PeerReply::Routes(routes) if !routes.lacks_access => {
                 postcard::to_extend(&routes.access(), frame)
             }
+            PeerReply::Verdict(Verdict::Granted { reserved: Some(epoch), .. }) => {
+                postcard::to_extend(epoch, frame)
+            }
             _ => Ok(frame),
         }
     }
@@ -236,6 +250,9 @@
             }
             PeerReply::Routes(routes) if rest.is_empty() => routes.lacks_access = true,
             PeerReply::Routes(routes) => routes.set_access(postcard::from_bytes(rest)?),
+            PeerReply::Verdict(Verdict::Granted { reserved, .. }) if !rest.is_empty() => {
+                *reserved = Some(postcard::from_bytes(rest)?);
+            }
             _ => (),
         }
         Ok((id, reply))
--- a/crates/rosethread_entry/src/peers/server.rs
+++ b/crates/rosethread_entry/src/peers/server.rs
@@ -21,6 +21,7 @@
     grants, history, paths,
     peers::{PeerReply, PeerRequest, frame_codec},
     quota,
+    settlements::{self, Settled},
     shards::{self, NotOwned},
     software::software_reply,
 };
@@ -104,9 +105,15 @@
             Err(NotOwned { owner: Some(owner), .. }) => PeerReply::OwnedBy(owner),
             Err(NotOwned { owner: None, detail }) => PeerReply::Unable(detail),
         },
-        PeerRequest::Settle { shard, settlement } => {
+        PeerRequest::Settle { shard, settlement, held } => {
             // A sender of the last release takes any reply for done.
-            grants::settle(entry, shard, &settlement).map_or(PeerReply::Done, PeerReply::OwnedBy)
+            match settlements::settle(entry, shard, &settlement, held).await {
+                Settled::Done => PeerReply::Done,
+                Settled::OwnedBy(owner) => PeerReply::OwnedBy(owner),
+                Settled::NotHere => {
+                    PeerReply::Unable("the settlement does not count here".to_owned())
+                }
+            }
         }
         PeerRequest::Chain { shard, turn } => history::local_transcript(entry, shard, &turn).await,
         PeerRequest::Write { shard, turn } => match history::write_turn(entry, shard, turn).await {
--- a/crates/rosethread_entry/src/shards.rs
+++ b/crates/rosethread_entry/src/shards.rs
@@ -31,10 +31,11 @@
 };
 
 use crate::{
-    ended_grants::EndedGrants,
+    ended_grants::{EarlySettlement, EndedGrants},
     entry::{Entry, Phase},
-    ledger::{Ledger, LedgerRecord, QueuedCeiling},
+    ledger::{HeldState, Ledger, LedgerRecord, QueuedCeiling},
     peers::{PeerReply, PeerRequest},
+    settlements,
 };
 
 use writer::Writer;
@@ -64,7 +65,7 @@
     claimed_ms: AtomicU64,
     /// Whether a repetition of the claim is under way.
     is_repeating: AtomicBool,
-    /// Wakes the requests for tokens that wait for a turn of the shard to be settled.
+    /// Wakes those that wait for a turn of the shard to be settled, or for the log to have that.
     pub(crate) settled: Notify,
 }
 
@@ -102,6 +103,12 @@
         self.writer.is_some()
     }
 
+    /// Records that a ceiling has reached the log.
+    pub(crate) fn confirm_ceiling(&self, queued: &QueuedCeiling) {
+        self.ledger().confirm_ceiling(queued);
+        self.settled.notify_waiters();
+    }
+
     /// Queues records, of which consecutive ones of a program are appended together; the receiver yields
     /// whether the last one has reached the log, and so all of them, or an error if no writer runs.
     pub(crate) fn record_all(
@@ -139,7 +146,7 @@
         Some((queued, self.record_all(&records, urgency)))
     }
 
-    fn is_lost(&self) -> bool {
+    pub(crate) fn is_lost(&self) -> bool {
         self.is_lost.load(Ordering::Relaxed)
     }
 }
@@ -196,9 +203,14 @@
         let mut ended = self.ended();
         let mut settled = 0;
         if let Some(ended) = ended.get_mut(&index) {
-            let grants = shard.ledger().open_grants();
-            for settlement in grants.into_iter().filter_map(|it| ended.take_early(it)) {
-                settled += u32::from(shard.ledger().settle(&settlement, now));
+            let mut ledger = shard.ledger();
+            let open = ledger.open_grants().into_iter().collect();
+            for EarlySettlement { settlement, held } in ended.take_early(&open) {
+                let is_settled = match held {
+                    Some(held) => ledger.settle_held(&settlement, held, now) != HeldState::NotHere,
+                    None => ledger.settle(&settlement, now),
+                };
+                settled += u32::from(is_settled);
             }
         }
         self.insert(index, shard);
@@ -395,6 +407,7 @@
         Ok(shard) => {
             let settled = entry.shards.adopt(index, shard.clone(), entry.now());
             entry.metrics.early_settlements.inc_by(settled.into());
+            settlements::record_ends(&entry, &shard);
             entry.metrics.claims.inc();
             if Phase::Serving < entry.phase() {
                 // The drain only released the shards that were owned when it started.
@@ -471,7 +484,7 @@
 }
 
 fn encode_record(record: &LedgerRecord) -> Bytes {
-    postcard::to_stdvec(record).expect("a record can be serialised").into()
+    record.encode().expect("a record can be serialised").into()
 }
 
 /// Transfers a shard's ledger to the host that ranks next for it, while the log is unavailable and
--- a/crates/rosethread_entry/src/shards/claim.rs
+++ b/crates/rosethread_entry/src/shards/claim.rs
@@ -94,6 +94,7 @@
     let writer = Writer::start(entry, index, partition(index), epoch, is_lost.clone());
     state.ledger.reset_last_used(entry.now());
     state.ledger.set_settled_by(entry.now() + longest_turn(entry));
+    state.ledger.set_epoch(epoch);
     Ok(Shard::new(epoch, state.ledger, Some(writer), is_lost, claimed))
 }
 
@@ -127,7 +128,7 @@
 ) -> Result<(), SharedLogError> {
     let read = entry.shared_log.read(&partition(index), offset, READ_BYTES, Duration::ZERO).await?;
     let found = read.entries.first().filter(|it| it.offset == offset);
-    let found = found.and_then(|it| postcard::from_bytes(&it.data).ok());
+    let found = found.and_then(|it| LedgerRecord::decode(&it.data).ok());
     if found.as_ref() == Some(claim) { Ok(()) } else { Err(SharedLogError::Fenced) }
 }
 
@@ -287,7 +288,7 @@
 impl PartitionState {
     /// Replays one record; one that cannot be decoded is logged and skipped.
     fn apply(&mut self, entry: &Entry, index: u32, data: &[u8]) {
-        let record: LedgerRecord = match postcard::from_bytes(data) {
+        let record = match LedgerRecord::decode(data) {
             Ok(record) => record,
             Err(error) => {
                 warn!(entry.logger, "shards: skipped a record that cannot be decoded";
--- a/crates/rosethread_entry/tests/ledger/losses.rs
+++ b/crates/rosethread_entry/tests/ledger/losses.rs
@@ -94,6 +94,21 @@
     assert_eq!(ledger.balance(&ask.program).uncertain, 3 * TURN_TOKENS);
 }
 
+/// Requests a turn from the newest owner, and returns whether it was granted; otherwise the budget has to be
+/// reported as spent.
+fn is_granted(shard: &mut Shard, program: usize) -> bool {
+    let granted = shard.granted.len();
+    let (owner, ask) = shard.send(0, program, TURN_TOKENS);
+    shard.request_grant(owner, program, ask.clone());
+    shard.flush(owner);
+    if shard.granted.len() == granted {
+        let verdict = shard.owners[owner].ledger.request_grant(&ask, LATER);
+        assert_eq!(verdict, Verdict::Spent, "after {granted} turns");
+        return false;
+    }
+    true
+}
+
 /// A program runs stored turns one after the other, each of which uses `share` percent of its tokens, until its
 /// budget is reported as spent. Its owner is lost before the turns `losses`, or during them if `is_midway`.
 fn check_underway(losses: &[usize], share: u64, is_midway: bool) {
@@ -105,13 +120,7 @@
         if losses.contains(&turn) && !is_midway {
             shard.claim(&[]);
         }
-        let granted = shard.granted.len();
-        let (owner, ask) = shard.send(0, program, TURN_TOKENS);
-        shard.request_grant(owner, program, ask.clone());
-        shard.flush(owner);
-        if shard.granted.len() == granted {
-            let verdict = shard.owners[owner].ledger.request_grant(&ask, LATER);
-            assert_eq!(verdict, Verdict::Spent, "after {granted} turns");
+        if !is_granted(&mut shard, program) {
             break;
         }
         if losses.contains(&turn) && is_midway {
@@ -138,6 +147,88 @@
     a_program_has_its_whole_budget_after_losses_during_turns: (&[2, 5, 6], 50, true);
 });
 
+/// When an owner is lost during a turn, and what the log and the next owners hear of the turn's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// The turn ends after the loss.
+    BeforeEnd,
+    /// The owner knew of the end, and is lost before the log does.
+    BeforeRecord,
+    /// The log has the end, and the owner is lost before it tells the carrier.
+    BeforeReply,
+    /// The next owner is lost as well before the log has the end.
+    Twice,
+    /// The carrier reports the end to the next owner while the lost one still runs, and grants.
+    Frozen,
+}
+
+/// A program runs stored turns one after the other, each of which uses half of its tokens, until its budget is
+/// reported as spent. Its owner is lost during each of the turns `losses`, whose carriers live.
+fn check_carried(losses: &[usize], loss: Loss) {
+    let mut shard = Shard::default();
+    shard.claim(&[]);
+    shard.is_stored = true;
+    let program = BUDGETS.len() - 1;
+    for turn in 0.. {
+        if !is_granted(&mut shard, program) {
+            break;
+        }
+        let is_lost = losses.contains(&turn);
+        if is_lost && loss == Loss::BeforeEnd {
+            shard.claim(&[]);
+        }
+        let ended = shard.granted.len() - 1;
+        shard.end(0, 50, |shard, _| vec![shard.position(0)]);
+        if is_lost && loss == Loss::BeforeReply {
+            shard.flush(shard.position(0));
+        }
+        if is_lost && loss != Loss::BeforeEnd {
+            shard.claim(&[]);
+            shard.report_held(ended, shard.position(0));
+        }
+        if is_lost && loss == Loss::Twice {
+            shard.claim(&[]);
+            shard.report_held(ended, shard.position(0));
+        }
+        if is_lost && loss == Loss::Frozen {
+            let (owner, ask) = shard.send(1, program, TURN_TOKENS);
+            shard.request_grant(owner, program, ask);
+            shard.flush(owner);
+        }
+        shard.flush(shard.position(0));
+    }
+    let (got, budget) = (shard.max_spent(program), budget_of(program));
+    assert!(budget < got + TURN_TOKENS, "stopped at {got} tokens of {budget}");
+    assert!(got <= budget + TURN_TOKENS, "got {got} tokens of {budget}");
+}
+
+rosethread_cases::cases!(check_carried {
+    // Guards against status 503 for good: the next owner did not know the turns that lost owners had granted, and
+    // each further loss cost a program what its turn did not use.
+    a_program_whose_turns_outlive_their_owners_has_its_budget: (&[2, 5, 6, 9, 12], Loss::BeforeEnd);
+    a_program_whose_owners_recorded_no_ends_has_its_budget: (&[2, 5, 6, 9, 12], Loss::BeforeRecord);
+    a_program_whose_owners_confirmed_no_ends_has_its_budget: (&[2, 5, 6, 9, 12], Loss::BeforeReply);
+    a_program_that_loses_two_owners_in_a_turn_has_its_budget: (&[2, 5, 6, 9, 12], Loss::Twice);
+    // Guards against an exceeded budget: both owners return what the turn did not use.
+    a_frozen_owner_returns_nothing_that_the_next_one_does: (&[2, 5, 6, 9, 12], Loss::Frozen);
+});
+
+// An owner that was not told of an end in time counts it all the same.
+#[test]
+fn a_lost_turn_is_settled_when_its_end_is_reported() {
+    let mut shard = Shard::default();
+    shard.claim(&[]);
+    shard.is_stored = true;
+    let (owner, ask) = shard.send(0, 2, TURN_TOKENS);
+    shard.request_grant(owner, 2, ask.clone());
+    shard.flush(owner);
+    assert_eq!(shard.owners[owner].ledger.expire_grants(LATER, LATER), 1);
+    shard.end(0, 30, |_, owner| vec![owner]);
+    shard.flush(owner);
+    let balance = shard.owners[owner].ledger.balance(&ask.program);
+    assert_eq!((balance.spent, balance.open), (30, 0));
+}
+
 /// A new owner is asked for a turn `after` the claim, when earlier owners may have granted the rest of the budget,
 /// of which `open` tokens are reserved for a turn that is handed over.
 fn check_uncertain(after: Duration, open: u64, expected: &Verdict) {
--- a/crates/rosethread_entry/tests/ledger/main.rs
+++ b/crates/rosethread_entry/tests/ledger/main.rs
@@ -40,6 +40,10 @@
     /// A turn in progress ends after a share of its tokens, in percent. Its owner receives the
     /// settlement or not, and so does another owner that was asked.
     End { turn: usize, share: u64, is_sent: bool, other: Option<usize> },
+    /// The carrier of an ended turn reports the end to an owner again.
+    Report { turn: usize, owner: usize },
+    /// An owner writes off the turns in progress, as if it had granted them long ago.
+    WriteOff { owner: usize },
     /// The caller of a turn leaves while the turn's request is on its way to an owner, which
     /// receives the settlement first.
     CancelRequest { owner: usize, program: usize },
@@ -52,8 +56,9 @@
     Flush { owner: usize, count: Option<usize>, is_reversed: bool },
     /// A new owner claims the shard.
     Claim,
-    /// A new owner claims the shard with the accounts that the last one has handed over.
-    HandOver,
+    /// A new owner claims the shard with the accounts that the last one has handed over, with or without
+    /// the turns in progress.
+    HandOver { has_open: bool },
     /// The last owner records all balances in the log and stops.
     Release,
     /// The last owner transfers its ledger to another host, which grants without the log.
@@ -79,8 +84,10 @@
             4 => (0_usize..20).prop_map(|request| Step::Deliver { request }),
             6 => (0_usize..3, prop::option::of(1_usize..3), any::<bool>())
                 .prop_map(|(owner, count, is_reversed)| Step::Flush { owner, count, is_reversed }),
+            6 => (0_usize..20, 0_usize..4).prop_map(|(turn, owner)| Step::Report { turn, owner }),
+            1 => (0_usize..2).prop_map(|owner| Step::WriteOff { owner }),
             1 => Just(Step::Claim),
-            1 => Just(Step::HandOver),
+            1 => any::<bool>().prop_map(|has_open| Step::HandOver { has_open }),
             1 => Just(Step::Release),
             1 => Just(Step::Transfer),
         ]
@@ -126,18 +133,36 @@
                 shard.has_takeover = true;
                 shard.claim(&[]);
             }
-            Step::HandOver => {
+            Step::Report { turn, owner } => {
+                let owner = shard.position(owner);
+                shard.report_held(turn, owner);
+            }
+            Step::WriteOff { owner } => {
+                let owner = shard.position(owner);
+                let lost = shard.owners[owner].ledger.expire_grants(NOW, NOW);
+                shard.has_lost_turns |= lost != 0;
+            }
+            Step::HandOver { has_open } => {
                 shard.has_takeover = true;
                 let last = shard.position(0);
-                let records = shard.release(last);
+                let mut records = shard.release(last);
+                records.retain(|it| has_open || !matches!(it, LedgerRecord::Open { .. }));
                 shard.claim(&records);
             }
             Step::Transfer => {
                 let last = shard.position(0);
                 let ledger = shard.owners[last].ledger.close_for_transfer(NOW);
+                // As it arrives at the other host.
+                let bytes = postcard::to_stdvec(&ledger).unwrap();
+                let ledger: Ledger = postcard::from_bytes(&bytes).unwrap();
                 // An epoch of zero cannot write, since the log has seen a higher one.
                 let claim = shard.owners[last].claim;
-                let unsettled = shard.owners[last].unsettled.clone();
+                let mut unsettled = shard.owners[last].unsettled.clone();
+                // An ended turn counts as under way there until its end is reported again.
+                ledger.open_grants().iter().for_each(|it| {
+                    shard.settled.remove(it);
+                });
+                unsettled.extend(shard.unsettled_grants(&ledger));
                 shard.owners.push(shard::Owner {
                     epoch: 0,
                     claim,
@@ -223,6 +248,8 @@
                 .prop_map(|(turn, share)| Step::End { turn, share, is_sent: true, other: None }),
             8 => (owner(), prop::option::of(1_usize..3), any::<bool>())
                 .prop_map(|(owner, count, is_reversed)| Step::Flush { owner, count, is_reversed }),
+            6 => (0_usize..20, 0_usize..4).prop_map(|(turn, owner)| Step::Report { turn, owner }),
+            1 => Just(Step::WriteOff { owner: 0 }),
             1 => Just(Step::Claim),
         ]
         .boxed()
--- a/crates/rosethread_entry/tests/ledger/records.rs
+++ b/crates/rosethread_entry/tests/ledger/records.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use rosethread_entry::{GrantId, GrantRequest, Ledger, LedgerRecord, Settlement, Verdict};
+use rosethread_entry::{
+    GrantId, GrantRequest, HeldGrant, HeldState, Ledger, LedgerRecord, Settlement, Verdict,
+};
 use rosethread_types::{Incarnation, ProgramLabel};
 
 /// A record as the last release wrote it, in hexadecimal digits, is read as it was, and written alike.
@@ -28,10 +30,64 @@
         program: "p".parse().unwrap(),
         budget: 300,
         tokens: 100,
+        ended: Vec::new(),
     });
     a_release_of_the_last_release_is_read: ("0301", &LedgerRecord::Released { epoch: 1 });
 });
 
+// Hosts of the last release read the record of settled turns as their own, without the grants.
+#[test]
+fn the_last_release_reads_the_record_of_settled_turns() {
+    let record = |ended| LedgerRecord::Settled {
+        program: "p".parse().unwrap(),
+        budget: 300,
+        tokens: 100,
+        ended,
+    };
+    let settled = record(vec![GrantId(7), GrantId(u64::MAX)]);
+    let bytes = settled.encode().unwrap();
+    assert_eq!(postcard::from_bytes::<LedgerRecord>(&bytes), Ok(record(Vec::new())));
+    assert_eq!(LedgerRecord::decode(&bytes), Ok(settled));
+    assert_eq!(record(Vec::new()).encode(), postcard::to_stdvec(&record(Vec::new())));
+}
+
+// Guards against an exceeded budget: a carrier that got no reply reports the end of a turn to the next owner,
+// which finds it in the log.
+#[test]
+fn a_settlement_in_the_log_counts_once() {
+    let (ask, _) = released_with_turn();
+    let program = ask.program.clone();
+    let mut next = replayed(&[
+        LedgerRecord::Settled {
+            program: program.clone(),
+            budget: 200,
+            tokens: 30,
+            ended: vec![ask.grant],
+        },
+        LedgerRecord::Ceiling { program, budget: 200, spent: 30, tokens: 130 },
+    ]);
+    next.set_epoch(2);
+    let held = HeldGrant { tokens: 100, epoch: 1, is_kept: true };
+    let state = next.settle_held(&settlement(&ask, 30), held, Duration::ZERO);
+    assert_eq!(state, HeldState::Recorded);
+    let balance = next.balance(&ask.program);
+    assert_eq!((balance.spent, balance.uncertain, balance.open), (30, 100, 0));
+}
+
+// Guards against an exceeded budget: ledgers that were transferred without the log don't know which turns are
+// settled there.
+#[test]
+fn a_transferred_ledger_settles_no_turns_of_earlier_owners() {
+    let (ask, _) = released_with_turn();
+    let program = ask.program.clone();
+    let ceiling = LedgerRecord::Ceiling { program, budget: 200, spent: 0, tokens: 100 };
+    let bytes = postcard::to_stdvec(&replayed(&[ceiling])).unwrap();
+    let mut copy: Ledger = postcard::from_bytes(&bytes).unwrap();
+    let held = HeldGrant { tokens: 100, epoch: 1, is_kept: true };
+    let state = copy.settle_held(&settlement(&ask, 30), held, Duration::ZERO);
+    assert_eq!((state, copy.balance(&ask.program).uncertain), (HeldState::NotHere, 100));
+}
+
 // Guards against an exceeded budget: the records of ceilings aged while their owner lived, and a new
 // owner knew neither of them nor of a turn that no record contains.
 #[test]
--- a/crates/rosethread_entry/tests/ledger/shard.rs
+++ b/crates/rosethread_entry/tests/ledger/shard.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 
 use rosethread_entry::{
-    EndedGrants, GrantId, GrantRequest, Ledger, LedgerRecord, QueuedCeiling, Settlement, Verdict,
+    EndedGrants, GrantId, GrantRequest, HeldGrant, HeldState, Ledger, LedgerRecord, QueuedCeiling,
+    Settlement, Verdict,
 };
 use rosethread_types::{Incarnation, ProgramLabel};
 
@@ -42,6 +43,8 @@
     pub ask: GrantRequest,
     /// The tokens that the caller received; none while the turn is in progress.
     pub used: Option<u64>,
+    /// What the carrier holds, if the owner told it the claim; it is held until the end of the test.
+    pub held: Option<HeldGrant>,
 }
 
 /// One shard's log and all its owners.
@@ -55,15 +58,34 @@
     /// Requests as they were sent, with the positions of owner and program.
     pub sent: Vec<(usize, usize, GrantRequest)>,
     pub request_count: u32,
-    /// The grants that were settled at an owner with an open ledger.
+    /// The grants that were settled at an owner with an open ledger; held ones once the log has that.
     pub settled: BTreeSet<GrantId>,
     /// Whether an owner has claimed the shard after another one, so that it knows earlier grants
     /// only from records.
     pub has_takeover: bool,
+    /// Whether an owner has taken turns in progress for lost.
+    pub has_lost_turns: bool,
     /// Whether the turns that are sent from now on are stored.
     pub is_stored: bool,
 }
 
+/// Appends records to the log, and notes which grants are settled by them.
+fn append<'a>(
+    log: &mut Vec<LedgerRecord>,
+    settled: &mut BTreeSet<GrantId>,
+    records: impl IntoIterator<Item = &'a LedgerRecord>,
+) {
+    for record in records {
+        match record {
+            LedgerRecord::Settled { ended, .. } => settled.extend(ended),
+            // Released before the owner knew that the log has the settlement.
+            LedgerRecord::Open { grant, .. } => drop(settled.remove(grant)),
+            _ => (),
+        }
+        log.push(record.clone());
+    }
+}
+
 pub fn budget_of(program: usize) -> u64 {
     BUDGETS[program] * TURN_TOKENS
 }
@@ -75,16 +97,13 @@
         for record in self.log.iter().chain(handed_over) {
             ledger.replay(record);
         }
-        // Turns in progress as the last owner closed its ledger are still to be settled at this one.
-        let open: BTreeSet<GrantId> =
-            ledger.open_grants().into_iter().filter(|it| !self.settled.contains(it)).collect();
-        let sent = self.sent.iter().map(|(_, program, ask)| (*program, ask.grant));
-        let unsettled = sent.filter(|(_, grant)| open.contains(grant)).collect();
+        append(&mut self.log, &mut self.settled, handed_over);
+        let unsettled = self.unsettled_grants(&ledger);
         ledger.set_settled_by(LATER);
         self.fence += 1;
         let epoch = self.fence;
+        ledger.set_epoch(epoch);
         let owner = format!("node-{epoch}").parse().unwrap();
-        self.log.extend(handed_over.iter().cloned());
         self.log.push(LedgerRecord::Claim { epoch, owner, run: Incarnation(epoch) });
         self.log.push(LedgerRecord::Bounded { epoch });
         self.owners.push(Owner {
@@ -98,6 +117,15 @@
         });
     }
 
+    /// Returns the grants of turns that were in progress as the last owner closed its ledger, and are still to
+    /// be settled at the next one, which has `ledger`.
+    pub fn unsettled_grants(&self, ledger: &Ledger) -> BTreeSet<(usize, GrantId)> {
+        let open: BTreeSet<GrantId> =
+            ledger.open_grants().into_iter().filter(|it| !self.settled.contains(it)).collect();
+        let sent = self.sent.iter().map(|(_, program, ask)| (*program, ask.grant));
+        sent.filter(|(_, grant)| open.contains(grant)).collect()
+    }
+
     pub fn release(&mut self, owner: usize) -> Vec<LedgerRecord> {
         let it = &mut self.owners[owner];
         it.ledger.release(it.claim)
@@ -138,6 +166,23 @@
         }
     }
 
+    /// Delivers the settlement of a held grant to an owner.
+    pub fn settle_held(
+        &mut self,
+        owner: usize,
+        program: usize,
+        (settlement, held): (&Settlement, HeldGrant),
+    ) {
+        let it = &mut self.owners[owner];
+        it.ended.insert(settlement.grant, NOW);
+        if it.ledger.settle_held(settlement, held, NOW) == HeldState::NotHere {
+            return;
+        }
+        it.unsettled.remove(&(program, settlement.grant));
+        let program = &settlement.program;
+        it.queue(program, |ledger| ledger.plan_settled_ceiling(program));
+    }
+
     /// Delivers a request to an owner, and checks the verdict.
     pub fn request_grant(&mut self, owner: usize, program: usize, ask: GrantRequest) {
         let it = &mut self.owners[owner];
@@ -146,10 +191,13 @@
         }
         let was_granted = self.granted.iter().any(|it| it.ask.grant == ask.grant);
         match it.ledger.request_grant(&ask, NOW) {
-            Verdict::Granted { .. } => {
+            Verdict::Granted { reserved, .. } => {
                 it.queue(&ask.program, |ledger| ledger.plan_ceiling(&ask.program, ask.tokens));
                 if !was_granted {
-                    self.granted.push(Granted { owner, program, ask, used: None });
+                    let held = reserved.filter(|_| ask.is_stored);
+                    let held =
+                        held.map(|epoch| HeldGrant { tokens: ask.tokens, epoch, is_kept: true });
+                    self.granted.push(Granted { owner, program, ask, used: None, held });
                 }
             }
             Verdict::Record(tokens) => {
@@ -158,7 +206,7 @@
                 it.waiting.push((program, ask));
             }
             Verdict::Spent => {
-                let ended = self.settled_tokens(program);
+                let ended = self.spent_tokens(program);
                 assert!(
                     budget_of(program) < ended + ask.tokens,
                     "reported as spent at {ended} tokens"
@@ -181,7 +229,7 @@
             return;
         }
         let mut appended: Vec<_> = it.queued.drain(..count.min(it.queued.len())).collect();
-        self.log.extend(appended.iter().flat_map(|(_, records)| records.iter().cloned()));
+        append(&mut self.log, &mut self.settled, appended.iter().flat_map(|(_, it)| it));
         if is_reversed {
             appended.reverse();
         }
@@ -199,6 +247,15 @@
         turns.filter_map(|it| it.used).sum()
     }
 
+    /// Returns the tokens that may count as spent: any turn may have been taken for lost, and then counts in
+    /// full until its end is reported to the owner.
+    fn spent_tokens(&self, program: usize) -> u64 {
+        if !self.has_lost_turns {
+            return self.settled_tokens(program);
+        }
+        self.granted.iter().filter(|it| it.program == program).map(|it| it.ask.tokens).sum()
+    }
+
     /// Returns the tokens that callers received, or may still receive in turns in progress.
     pub fn max_spent(&self, program: usize) -> u64 {
         let turns = self.granted.iter().filter(|it| it.program == program);
@@ -211,6 +268,18 @@
         turns.map(|it| it.ask.tokens).max().unwrap_or(0)
     }
 
+    /// Reports the end of a turn whose grant is held to an owner, once more.
+    pub fn report_held(&mut self, turn: usize, owner: usize) {
+        let held: Vec<(usize, Settlement, HeldGrant)> = self
+            .granted
+            .iter()
+            .filter_map(|it| Some((it.program, settlement(&it.ask, it.used?), it.held?)))
+            .collect();
+        if let Some((program, settlement, held)) = held.get(turn % held.len().max(1)) {
+            self.settle_held(owner, *program, (settlement, *held));
+        }
+    }
+
     /// Ends a turn in progress, and settles it at the owners that `owners` returns, given its own.
     pub fn end(
         &mut self,
@@ -226,10 +295,15 @@
         let granted = &mut self.granted[*index];
         let used = granted.ask.tokens * share / 100;
         granted.used = Some(used);
-        let (owner, program) = (granted.owner, granted.program);
+        // An owner returns at once what a turn reserved that used nothing.
+        granted.held = granted.held.filter(|_| used != 0);
+        let (owner, program, held) = (granted.owner, granted.program, granted.held);
         let settlement = settlement(&granted.ask, used);
         for owner in owners(self, owner) {
-            self.settle(owner, program, &settlement);
+            match held {
+                Some(held) => self.settle_held(owner, program, (&settlement, held)),
+                None => self.settle(owner, program, &settlement),
+            }
         }
     }
 
--- a/crates/rosethread_entry/tests/peers.rs
+++ b/crates/rosethread_entry/tests/peers.rs
@@ -3,9 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use rosethread_entry::{
-    AskProgram, ClientLimits, GrantId, GrantRequest, KeyDigest, Organisation, Organisations,
-    PathRequest, PeerReply, PeerRequest, QuotaAsk, QuotaReply, Route, RouteKind, Routes, Target,
-    TargetStatus, WeightedService,
+    AskProgram, ClientLimits, GrantId, GrantRequest, HeldGrant, KeyDigest, Organisation,
+    Organisations, PathRequest, PeerReply, PeerRequest, QuotaAsk, QuotaReply, Route, RouteKind,
+    Routes, Settlement, Target, TargetStatus, Verdict, WeightedService,
 };
 use rosethread_types::{Incarnation, Revision};
 
@@ -81,6 +81,57 @@
     a_request_for_a_stored_turn_begins_like_that_of_the_last_release: (true);
 });
 
+/// The request 6 to settle a turn, and the reply to request 6 that grants one, as the last release sent them.
+const LAST_RELEASE_SETTLE: &str = "060103017001730172320101740007";
+const LAST_RELEASE_GRANT: &str = "06000001017401";
+
+/// Owners of the last release don't look at what follows a settlement, and this one reads theirs.
+fn check_settle(held: Option<HeldGrant>) {
+    let settle = |held| PeerRequest::Settle {
+        shard: 3,
+        settlement: Settlement {
+            program: "p".parse().unwrap(),
+            session: "s".parse().unwrap(),
+            request: "r".parse().unwrap(),
+            used: 50,
+            target: Some("t".parse().unwrap()),
+            failed: None,
+            grant: GrantId(7),
+        },
+        held,
+    };
+    let frame = settle(held).encode(6).unwrap();
+    let (id, request): (u64, &[u8]) = postcard::take_from_bytes(&frame).unwrap();
+    assert_eq!((id, PeerRequest::decode(request)), (6, Ok(settle(held))));
+    let last_release = hex::decode(LAST_RELEASE_SETTLE).unwrap();
+    assert_eq!(frame[..last_release.len()], last_release);
+    assert_eq!(postcard::from_bytes(request), Ok(settle(None)));
+}
+
+rosethread_cases::cases!(check_settle {
+    a_settlement_is_that_of_the_last_release: (None);
+    a_held_settlement_begins_like_that_of_the_last_release:
+        (Some(HeldGrant { tokens: 100, epoch: 1 << 50, is_kept: true }));
+});
+
+/// Hosts of the last release don't look at what follows the grant of a turn, and this one reads theirs.
+fn check_grant(reserved: Option<u64>) {
+    let grant = |reserved| {
+        let home = Some("t".parse().unwrap());
+        PeerReply::Verdict(Verdict::Granted { home, underway: true, reserved })
+    };
+    let frame = grant(reserved).encode(6).unwrap();
+    assert_eq!(PeerReply::decode(&frame).unwrap(), (6, grant(reserved)));
+    let last_release = hex::decode(LAST_RELEASE_GRANT).unwrap();
+    assert_eq!(frame[..last_release.len()], last_release);
+    assert_eq!(postcard::from_bytes(&frame), Ok((6_u64, grant(None))));
+}
+
+rosethread_cases::cases!(check_grant {
+    a_grant_is_that_of_the_last_release: (None);
+    a_grant_with_its_claim_begins_like_that_of_the_last_release: (Some(1 << 50));
+});
+
 /// The request 9 for the origin of the stream 5, and the reply that the node knows none, as the last
 /// release sent them.
 const LAST_RELEASE_FIND_ORIGIN: (&str, &str) = ("090905", "090900");
