A change of the routes is in force in time after connections to the store go silent

Cause: hosts wait for a change on one connection, for 8 s and 1.5 s more, which has no relation to how late a change may be. The registry is read on another connection, so nothing else fails. And a request that timed out was followed by one on the next idle connection, which may be silent, too.

Ruled out: keep-alive probes, which the other end of a silent connection may answer.

Change: a read of the routes waits for contact_ms + change_ms less two response times (2 s by default), so that it and the next read are over when changes are due again. The age of the routes is a metric, and is logged.

--- a/crates/rosethread_entry/src/control/periodic.rs
+++ b/crates/rosethread_entry/src/control/periodic.rs
@@ -46,6 +46,7 @@
         entry.metrics.limited_targets.set(entry.limits.named_count() as i64);
         entry.metrics.lost_paths.set(entry.paths.lost_count() as i64);
         entry.metrics.nodes.set(entry.view().live().count() as i64);
+        entry.metrics.routes_age_ms.set(entry.routes_age().as_millis() as i64);
         entry.metrics.count_dropped(&entry.dropped_datagrams);
         if members.tell(SetSummary(summary)).await.is_err() {
             return;
--- a/crates/rosethread_entry/src/control/routes.rs
+++ b/crates/rosethread_entry/src/control/routes.rs
@@ -21,16 +21,18 @@
 
 /// Activates each new revision of the routes in the store.
 ///
-/// The store's response to a long poll can be lost in an outage, and nothing on that connection tells
-/// it from a poll without news. A poll that was pending in an outage is therefore abandoned as soon as
-/// the store responds to another read.
+/// The store's response to a long poll can be lost, and nothing on that connection tells it from a poll
+/// without news. A poll is therefore no longer than a change may be late (see
+/// [`TimeLimits::longest_read`](crate::TimeLimits::longest_read)), and one that was pending in an outage is
+/// abandoned as soon as the store responds to another read.
 pub(super) async fn follow_store(entry: Arc<Entry>) {
     let mut was_reachable = true;
     loop {
         let after = entry.routes().whole_revision();
         let started = Instant::now();
+        let wait = entry.reloadable().bounds.longest_read();
         let fetched = tokio::select! {
-            fetched = entry.routes_source.fetch_newer(after) => fetched,
+            fetched = entry.routes_source.fetch_newer(after, wait) => fetched,
             () = entry.store_regained.notified() => {
                 info!(entry.logger, "routes: reading again after an outage";
                     "pending_ms" => started.elapsed().as_millis() as u64);
@@ -39,6 +41,7 @@
         };
         match fetched {
             Ok(routes) => {
+                entry.record_routes_read();
                 if !std::mem::replace(&mut was_reachable, true) {
                     info!(entry.logger, "store: regained"; "part" => "routes");
                 }
@@ -48,7 +51,9 @@
             }
             Err(error) => {
                 if std::mem::replace(&mut was_reachable, false) {
-                    warn!(entry.logger, "store: lost"; "part" => "routes", "error" => %error);
+                    warn!(entry.logger, "store: lost"; "part" => "routes", "error" => %error,
+                        "pending_ms" => started.elapsed().as_millis() as u64,
+                        "routes_age_ms" => entry.routes_age().as_millis() as u64);
                 }
                 sleep(RETRY_DELAY).await;
             }
--- a/crates/rosethread_entry/src/entry.rs
+++ b/crates/rosethread_entry/src/entry.rs
@@ -134,6 +134,9 @@
     /// When the store last responded to this host, in milliseconds since the start; zero before
     /// that.
     store_response_ms: AtomicU64,
+    /// When the store last told this host the newest routes, or that there are none, in milliseconds since the
+    /// start.
+    routes_read_ms: AtomicU64,
     /// Wakes the tasks that wait for the store when it responds again after a failed read of the
     /// registry.
     pub(crate) store_regained: Notify,
@@ -199,6 +202,7 @@
             targets: watch::Sender::new(Arc::default()),
             targets_read_ms: AtomicU64::new(0),
             store_response_ms: AtomicU64::new(0),
+            routes_read_ms: AtomicU64::new(0),
             store_regained: Notify::new(),
             view: watch::Sender::new(Arc::default()),
             phase: watch::Sender::new(Phase::Serving),
@@ -398,6 +402,17 @@
         self.store_response_ms.store(now_ms, Ordering::Relaxed);
     }
 
+    /// Returns the time since the store last told this host the newest routes.
+    pub(crate) fn routes_age(&self) -> Duration {
+        let last = Duration::from_millis(self.routes_read_ms.load(Ordering::Relaxed));
+        self.now().saturating_sub(last)
+    }
+
+    /// Records that the store has just told this host the newest routes.
+    pub(crate) fn record_routes_read(&self) {
+        self.routes_read_ms.store(self.now().as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Returns the time since the process start, which serves as the monotonic clock.
     pub(crate) fn now(&self) -> Duration {
         self.started_at.elapsed()
--- a/crates/rosethread_entry/src/metrics.rs
+++ b/crates/rosethread_entry/src/metrics.rs
@@ -66,6 +66,8 @@
     pub turn_bytes: IntGauge,
     /// Revision of the active routes.
     pub revision: IntGauge,
+    /// Time since the store last told this host the newest routes, in milliseconds.
+    pub routes_age_ms: IntGauge,
     /// Number of known targets, with those that are kept although their registration is missing.
     pub targets: IntGauge,
     /// Number of targets that said in a response that they are leaving.
@@ -198,6 +200,10 @@
             programs: gauge("rosethread_entry_programs", "Programs known at present."),
             turn_bytes: gauge("rosethread_entry_turn_bytes", "Bytes of kept turns."),
             revision: gauge("rosethread_entry_revision", "The routes' revision in force."),
+            routes_age_ms: gauge(
+                "rosethread_entry_routes_age_ms",
+                "Milliseconds since the store last told the newest routes.",
+            ),
             targets: gauge("rosethread_entry_targets", "Targets known."),
             leaving_targets: counter(
                 "rosethread_entry_leaving_targets_total",
--- a/crates/rosethread_entry/src/ports.rs
+++ b/crates/rosethread_entry/src/ports.rs
@@ -1,7 +1,7 @@
 //! The entry's interfaces to the platform that it runs on (the ports of a ports-and-adapters
 //! design); an adapter crate implements these traits.
 
-use std::{collections::BTreeSet, io, pin::Pin};
+use std::{collections::BTreeSet, io, pin::Pin, time::Duration};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -18,14 +18,21 @@
 
 use crate::{Call, Routes, Target, paths::PathStream};
 
+/// How long the store may take to respond to a request, in addition to the time for which it is asked to
+/// wait. A request without a response by then has failed, and the next one is sent on a new connection.
+pub const STORE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// The source of the routes that the operator publishes.
 #[async_trait]
 pub trait RoutesSource: Send + Sync {
-    /// Waits for routes of a revision above `after`, and returns `None` if the long poll ends
-    /// without any.
+    /// Waits up to `wait` for routes of a revision above `after`, and returns `None` if there are none by then.
     ///
     /// A future that is dropped before it completes loses no routes: the next call returns them.
-    async fn fetch_newer(&self, after: Revision) -> Result<Option<Routes>, SharedLogError>;
+    async fn fetch_newer(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Option<Routes>, SharedLogError>;
 }
 
 /// Changes of the target registrations since the previous read.
--- a/crates/rosethread_entry/src/settings.rs
+++ b/crates/rosethread_entry/src/settings.rs
@@ -6,6 +6,18 @@
 use rosethread_types::{NodeName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use crate::ports::STORE_RESPONSE_TIMEOUT;
+
+/// Default of [`TimeLimits::contact_ms`].
+const DEFAULT_CONTACT_MS: f64 = 3_000.0;
+
+/// Default of [`TimeLimits::change_ms`].
+const DEFAULT_CHANGE_MS: f64 = 2_000.0;
+
+/// The bounds of how long a read of the store waits for a change of the routes.
+const MIN_READ_WAIT: Duration = Duration::from_millis(200);
+const MAX_READ_WAIT: Duration = Duration::from_secs(8);
+
 /// Default of [`EntrySettings::part_copies`].
 const DEFAULT_PART_COPIES: f64 = 3.0;
 
@@ -15,6 +27,14 @@
 /// Default of [`EntrySettings::max_descriptors`].
 const DEFAULT_MAX_DESCRIPTORS: usize = 8_192;
 
+fn default_contact_ms() -> f64 {
+    DEFAULT_CONTACT_MS
+}
+
+fn default_change_ms() -> f64 {
+    DEFAULT_CHANGE_MS
+}
+
 fn default_memory_mb() -> u64 {
     DEFAULT_MEMORY_MB
 }
@@ -160,6 +180,24 @@
     pub grace_s: f64,
     /// The maximum time for which callers may cache a response of the directory, in seconds.
     pub keep_s: f64,
+    /// The time after a disruption of its connections within which a host works as before, in milliseconds.
+    #[serde(default = "default_contact_ms")]
+    pub contact_ms: f64,
+    /// The time within which published routes are in force, in milliseconds.
+    #[serde(default = "default_change_ms")]
+    pub change_ms: f64,
+}
+
+impl TimeLimits {
+    /// Returns how long a read of the store may wait for a change of the routes.
+    ///
+    /// A connection that has gone silent shows only when the read on it has timed out. The next read, on a
+    /// new connection, has to be over when changes are due in time again: `contact_ms` and `change_ms` after the
+    /// silence began.
+    pub fn longest_read(&self) -> Duration {
+        let limit = Duration::from_secs_f64((self.contact_ms + self.change_ms) / 1_000.0);
+        limit.saturating_sub(2 * STORE_RESPONSE_TIMEOUT).clamp(MIN_READ_WAIT, MAX_READ_WAIT)
+    }
 }
 
 /// The settings that can change while the process runs.
@@ -278,6 +316,13 @@
         let keep = self.bounds.keep_s;
         let rule = "must be from 0 to 3600";
         problems.require((0.0..=3_600.0).contains(&keep), "bounds.keep_s", keep, rule);
+        let rule = "must be from 0 to 3600000";
+        for (name, limit) in [
+            ("bounds.contact_ms", self.bounds.contact_ms),
+            ("bounds.change_ms", self.bounds.change_ms),
+        ] {
+            problems.require((0.0..=3_600_000.0).contains(&limit), name, limit, rule);
+        }
         self.require_quota(&mut problems);
         let keys = KeySettings::decode(&self.keys.shared);
         let has_valid_keys = !keys.is_empty() && keys.len() == self.keys.shared.len();
--- a/crates/rosethread_entry/tests/settings.rs
+++ b/crates/rosethread_entry/tests/settings.rs
@@ -1,6 +1,8 @@
 //! Tests that an invalid setting is reported with the name of its field, and that changes which need
 //! a restart are told apart from reloadable ones.
 
+use std::time::Duration;
+
 use rosethread_entry::EntrySettings;
 
 const VALID: &str = r#"
@@ -66,6 +68,10 @@
     a_slack_that_is_no_number: ("[bounds]", "[quota]\nwindow_s = 5\noverage = 0.1\nslack = nan\n[bounds]", "quota.slack = NaN: must be from 0");
     a_rule_without_its_slack: ("[bounds]", "[quota]\nwindow_s = 5\noverage = 0.1\n[bounds]", "slack");
     a_negative_cache_time: ("keep_s = 5", "keep_s = -1", "bounds.keep_s = -1");
+    a_negative_contact_time:
+        ("keep_s = 5", "keep_s = 5\ncontact_ms = -1", "bounds.contact_ms = -1: must be from 0");
+    a_negative_change_time:
+        ("keep_s = 5", "keep_s = 5\nchange_ms = -1", "bounds.change_ms = -1: must be from 0");
     a_malformed_key: ("00112233445566778899aabbccddeeff", "xyz", "keys.shared = (hidden)");
     an_unknown_rule_of_admission: ("[bounds]", "[admission]\nsurprise = true\n[bounds]", "surprise");
     an_unknown_field: ("[bounds]", "[bounds]\nsurprise = 1", "surprise");
@@ -100,3 +106,18 @@
     a_new_port_needs_a_restart: ("10.1.0.1:8001", "10.1.0.1:8009", &["addresses"]);
     a_new_partition_count_needs_a_restart: ("partitions = 12", "partitions = 9", &["platform.partitions"]);
 });
+
+/// Checks how long a read may wait for a change of the routes under the limits `limits`.
+fn check_longest_read(limits: &str, expected_ms: u64) {
+    let settings = VALID.replace("keep_s = 5", &format!("keep_s = 5\n{limits}"));
+    let settings = EntrySettings::parse(&settings).unwrap();
+    assert_eq!(settings.bounds.longest_read(), Duration::from_millis(expected_ms));
+}
+
+rosethread_cases::cases!(check_longest_read {
+    // Guards against routes that are late: a read that times out and the next one took longer than a change may.
+    two_reads_are_over_when_a_change_is_due: ("contact_ms = 4000\nchange_ms = 1000", 2_000);
+    a_read_waits_by_default: ("", 2_000);
+    a_read_waits_a_little_under_short_limits: ("contact_ms = 0\nchange_ms = 500", 200);
+    a_read_ends_under_long_limits: ("contact_ms = 60000", 8_000);
+});
