--- a/crates/rosethread_entry/src/ended_grants.rs
+++ b/crates/rosethread_entry/src/ended_grants.rs
@@ -40,7 +40,7 @@
 pub struct EarlySettlement {
     /// The settlement.
     pub settlement: Settlement,
-    /// The grant, if its carrier holds it.
+    /// The grant, if its carrier held it until it ended.
     pub held: Option<HeldGrant>,
 }
 
--- a/crates/rosethread_entry/src/grants.rs
+++ b/crates/rosethread_entry/src/grants.rs
@@ -40,7 +40,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct AskedHosts(Mutex<Asked>);
 
-/// See [`AskedHosts`].
+/// The hosts that were asked so far, and the one that granted the tokens.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Asked {
     pub(crate) hosts: BTreeSet<NodeName>,
--- a/crates/rosethread_entry/src/ledger.rs
+++ b/crates/rosethread_entry/src/ledger.rs
@@ -16,6 +16,9 @@
 //! it has spent and reserved, and is lowered again as its turns end: a new owner then knows of all
 //! but the one turn by which the budget may be exceeded, and the program has its whole budget.
 //!
+//! The host that carries a stored turn *holds* its grant until the log has the settlement, so that a new
+//! owner can settle it. What the turn returns is granted again only from then on.
+//!
 //! The ledger also suggests a *home* for each session: the target that ran its last turn, and so
 //! most likely has its prompt in the cache.
 
--- a/crates/rosethread_entry/src/settlements.rs
+++ b/crates/rosethread_entry/src/settlements.rs
@@ -270,7 +270,8 @@
         is_settled
     }
 
-    /// Tells the hosts that may own the shard by now, and returns whether the settlement counts.
+    /// Tells the hosts that may own the shard by now, those that they name included, and returns whether the
+    /// settlement counts.
     async fn find_owner(&self) -> bool {
         let mut hosts: BTreeSet<NodeName> = self.likely_owner().into_iter().collect();
         hosts.extend(responsible_for(&self.entry, self.shard));
@@ -286,6 +287,7 @@
         false
     }
 
+    /// Returns the last known owner if it runs, else the host that will claim the shard.
     fn likely_owner(&self) -> Option<NodeName> {
         let last = self.entry.shards.last_owner(self.shard);
         let last = last.filter(|it| self.entry.view().is_running(it));
